--- /dev/null
+++ b/cmd/yuccahinge/main.go
@@ -0,0 +1,4 @@
+// Command yuccahinge serves the query tier on an entry host and gives operators their tools.
+package main
+
+func main() {}
--- /dev/null
+++ b/event.go
@@ -0,0 +1,36 @@
+package yuccahinge
+
+// EventCode numbers a kind of event. docs/EVENTS.md is the catalogue.
+type EventCode int
+
+// Stamp orders events over all processes: physical time first, then a counter that grows along messages.
+type Stamp struct {
+	Wall  int64  `json:"wall"`
+	Count uint32 `json:"count"`
+}
+
+// Before reports whether s comes before o.
+func (s Stamp) Before(o Stamp) bool {
+	if s.Wall != o.Wall {
+		return s.Wall < o.Wall
+	}
+	return s.Count < o.Count
+}
+
+// Event is an entry of the time line. Fields that do not apply are empty.
+type Event struct {
+	Stamp    Stamp        `json:"stamp"`
+	Seq      uint64       `json:"seq"`
+	Code     EventCode    `json:"code"`
+	Name     string       `json:"name"`
+	Host     HostID       `json:"host"`
+	Request  RequestID    `json:"request,omitempty"`
+	Ticket   TicketNumber `json:"ticket,omitempty"`
+	Service  ServiceName  `json:"service,omitempty"`
+	Shard    *ShardID     `json:"shard,omitempty"`
+	Attempt  AttemptID    `json:"attempt,omitempty"`
+	Searcher SearcherID   `json:"searcher,omitempty"`
+	Claim    ClaimID      `json:"claim,omitempty"`
+	Peer     string       `json:"peer,omitempty"`
+	Detail   string       `json:"detail,omitempty"`
+}
--- /dev/null
+++ b/event/process.go
@@ -0,0 +1,28 @@
+package event
+
+import "github.com/yuccahinge/yuccahinge"
+
+// Events of the process, numbered from 100.
+const (
+	ProcessStarted  yuccahinge.EventCode = 100
+	ProcessReady    yuccahinge.EventCode = 101
+	ProcessUnready  yuccahinge.EventCode = 102
+	ProcessDraining yuccahinge.EventCode = 103
+	ProcessStopped  yuccahinge.EventCode = 104
+	ProcessPaused   yuccahinge.EventCode = 105
+	DrainCut        yuccahinge.EventCode = 106
+	InvariantBroken yuccahinge.EventCode = 107
+	PeerRefused     yuccahinge.EventCode = 108
+)
+
+var processNames = map[yuccahinge.EventCode]string{
+	ProcessStarted:  "processStarted",
+	ProcessReady:    "processReady",
+	ProcessUnready:  "processUnready",
+	ProcessDraining: "processDraining",
+	ProcessStopped:  "processStopped",
+	ProcessPaused:   "processPaused",
+	DrainCut:        "drainCut",
+	InvariantBroken: "invariantBroken",
+	PeerRefused:     "peerRefused",
+}
--- /dev/null
+++ b/event/roster.go
@@ -0,0 +1,20 @@
+package event
+
+import "github.com/yuccahinge/yuccahinge"
+
+// Events of the membership of entry hosts, numbered from 500.
+const (
+	MemberJoined    yuccahinge.EventCode = 500
+	MemberLeft      yuccahinge.EventCode = 501
+	MemberSuspected yuccahinge.EventCode = 502
+	MemberRefuted   yuccahinge.EventCode = 503
+	MemberRestarted yuccahinge.EventCode = 504
+)
+
+var rosterNames = map[yuccahinge.EventCode]string{
+	MemberJoined:    "memberJoined",
+	MemberLeft:      "memberLeft",
+	MemberSuspected: "memberSuspected",
+	MemberRefuted:   "memberRefuted",
+	MemberRestarted: "memberRestarted",
+}
--- /dev/null
+++ b/event/search.go
@@ -0,0 +1,32 @@
+package event
+
+import "github.com/yuccahinge/yuccahinge"
+
+// Events of searches, numbered from 200.
+const (
+	SearchArrived    yuccahinge.EventCode = 200
+	SearchAnswered   yuccahinge.EventCode = 201
+	SearchRefused    yuccahinge.EventCode = 202
+	AttemptSent      yuccahinge.EventCode = 203
+	AttemptEnded     yuccahinge.EventCode = 204
+	AttemptHedged    yuccahinge.EventCode = 205
+	AttemptRetried   yuccahinge.EventCode = 206
+	ReplyInvalid     yuccahinge.EventCode = 207
+	DuplicateHit     yuccahinge.EventCode = 208
+	QueryQuarantined yuccahinge.EventCode = 209
+	VersionSwitched  yuccahinge.EventCode = 210
+)
+
+var searchNames = map[yuccahinge.EventCode]string{
+	SearchArrived:    "searchArrived",
+	SearchAnswered:   "searchAnswered",
+	SearchRefused:    "searchRefused",
+	AttemptSent:      "attemptSent",
+	AttemptEnded:     "attemptEnded",
+	AttemptHedged:    "attemptHedged",
+	AttemptRetried:   "attemptRetried",
+	ReplyInvalid:     "replyInvalid",
+	DuplicateHit:     "duplicateHit",
+	QueryQuarantined: "queryQuarantined",
+	VersionSwitched:  "versionSwitched",
+}
--- /dev/null
+++ b/shardcall.go
@@ -0,0 +1,79 @@
+package yuccahinge
+
+import "encoding/json"
+
+// ShardRequest is one attempt at one shard, as a searcher receives it at POST /v1/query.
+type ShardRequest struct {
+	RequestID    RequestID       `json:"requestId"`
+	Attempt      AttemptID       `json:"attempt"`
+	Service      ServiceName     `json:"service"`
+	Shard        ShardID         `json:"shard"`
+	IndexVersion IndexVersion    `json:"indexVersion"`
+	Ticket       TicketNumber    `json:"ticket"`
+	Query        json.RawMessage `json:"query"`
+	Calendar     *Calendar       `json:"calendar,omitempty"`
+	DeadlineMs   Millis          `json:"deadlineMs"`
+}
+
+// ShardReply is a searcher's reply. Request, attempt, shard and version echo the ShardRequest.
+// Outcome is Ran with hits, or NotRun with a reason.
+type ShardReply struct {
+	RequestID    RequestID    `json:"requestId"`
+	Attempt      AttemptID    `json:"attempt"`
+	Shard        ShardID      `json:"shard"`
+	IndexVersion IndexVersion `json:"indexVersion"`
+	Outcome      Outcome      `json:"outcome"`
+	Reason       Reason       `json:"reason,omitempty"`
+	Hits         []Hit        `json:"hits,omitempty"`
+	Load         LoadReport   `json:"load"`
+}
+
+// LoadReport is what a searcher says of itself, with each reply and at GET /v1/load.
+type LoadReport struct {
+	Searcher    SearcherID     `json:"searcher"`
+	Incarnation Incarnation    `json:"incarnation"`
+	Slots       int            `json:"slots"`
+	Running     int            `json:"running"`
+	Queued      int            `json:"queued"`
+	Draining    bool           `json:"draining,omitempty"`
+	Versions    []IndexVersion `json:"versions,omitempty"`
+}
+
+// ShardResult is how an attempt ended. Outcome is Ran only with a valid reply.
+type ShardResult struct {
+	Outcome Outcome
+	Reason  Reason
+	Reply   *ShardReply
+	// Latency is the time from the send to the end of the attempt.
+	Latency Millis
+	Err     error
+}
+
+// ChargeCall is a charge as a searcher receives it at POST /v1/charge.
+type ChargeCall struct {
+	RequestID  RequestID       `json:"requestId"`
+	Service    ServiceName     `json:"service"`
+	Claim      ClaimID         `json:"claim"`
+	Key        string          `json:"key"`
+	Ticket     TicketNumber    `json:"ticket"`
+	Body       json.RawMessage `json:"body"`
+	DeadlineMs Millis          `json:"deadlineMs"`
+}
+
+// ChargeReply is a searcher's reply to a ChargeCall, with Outcome Ran or NotRun.
+type ChargeReply struct {
+	RequestID RequestID       `json:"requestId"`
+	Claim     ClaimID         `json:"claim"`
+	Outcome   Outcome         `json:"outcome"`
+	Reason    Reason          `json:"reason,omitempty"`
+	Result    json.RawMessage `json:"result,omitempty"`
+	Load      LoadReport      `json:"load"`
+}
+
+// ChargeResult is how the one attempt of a charge ended.
+type ChargeResult struct {
+	Outcome Outcome
+	Reason  Reason
+	Reply   *ChargeReply
+	Err     error
+}
