Add ticket: strict decoding, checks and the fold

Tickets come from operators and reach every host, so a bad one has to be refused whole with its field and value. A version of an index that would stand for two shard maps is refused as well, since a query pins one map per version.

--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,152 @@
+package ticket
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func searchService(version yuccahinge.IndexVersion, split uint32) *yuccahinge.Service {
+	searcher := &yuccahinge.Searcher{Addr: "127.0.0.1:7001", Domain: "a", Slots: 2, Connections: 25, ConnectMs: 6}
+	return &yuccahinge.Service{
+		Kind:       yuccahinge.KindSearch,
+		Preference: yuccahinge.PreferLatency,
+		DeadlineMs: 300,
+		Index: yuccahinge.Index{
+			Version: version,
+			Shards: []yuccahinge.Shard{
+				{ID: 0, From: 0, To: split, Searchers: []yuccahinge.SearcherID{"s1"}},
+				{ID: 1, From: split, To: yuccahinge.KeySpace, Searchers: []yuccahinge.SearcherID{"s1"}},
+			},
+			Searchers: map[yuccahinge.SearcherID]*yuccahinge.Searcher{"s1": searcher},
+		},
+	}
+}
+
+func serviceTicket(n yuccahinge.TicketNumber, s *yuccahinge.Service) *yuccahinge.Ticket {
+	return &yuccahinge.Ticket{
+		Number:   n,
+		Services: map[yuccahinge.ServiceName]*yuccahinge.Service{"trainer": s},
+	}
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	for name, tt := range map[string]struct{ in, want string }{
+		"unknown field": {`{"number":1,"colour":"red"}`, `"colour"`},
+		"repeated":      {`{"number":1,"number":2}`, `"number"`},
+		"repeated case": {`{"number":1,"Number":2}`, `"Number"`},
+		"nested repeat": {`{"number":1,"calendars":{"x":{"holidays":[],"holidays":[]}}}`, `ticket.calendars.x`},
+		"trailing":      {`{"number":1} {}`, "byte 12"},
+		"wrong kind":    {`{"number":"one"}`, "number: string"},
+		"truncated":     {`{"number":1`, "EOF"},
+		"empty":         {``, "EOF"},
+		"large":         {`{"number":1,"note":"` + strings.Repeat("x", MaxBytes) + `"}`, "above the limit"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Decode([]byte(tt.in))
+			if err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("error is %v, want one with %q", err, tt.want)
+			}
+			var typed *yuccahinge.Error
+			if !errors.As(err, &typed) || typed.Step != yuccahinge.StepTicket {
+				t.Fatalf("error %v is not typed", err)
+			}
+		})
+	}
+}
+
+func TestCheckRefuses(t *testing.T) {
+	for name, tt := range map[string]struct {
+		change func(*yuccahinge.Ticket, *yuccahinge.Service)
+		want   string
+	}{
+		"number":    {func(x *yuccahinge.Ticket, _ *yuccahinge.Service) { x.Number = 0 }, "number"},
+		"hole":      {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].From++ }, "belong to no shard"},
+		"overlap":   {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].From-- }, "overlaps"},
+		"short":     {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].To-- }, "65535"},
+		"repeat id": {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].ID = 0 }, "repeated"},
+		"no replica": {
+			func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].Searchers = nil },
+			"shards[1].searchers",
+		},
+		"stranger": {
+			func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Shards[1].Searchers[0] = "s9" },
+			`"s9"`,
+		},
+		"host name": {
+			func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Searchers["s1"].Addr = "localhost:1" },
+			`"localhost:1"`,
+		},
+		"slots":    {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Index.Searchers["s1"].Slots = 0 }, "slots"},
+		"deadline": {func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.DeadlineMs = -1 }, "deadlineMs: -1"},
+		"previous": {
+			func(_ *yuccahinge.Ticket, s *yuccahinge.Service) { s.Previous = &yuccahinge.Index{Version: 3} },
+			"previous",
+		},
+		"date": {
+			func(x *yuccahinge.Ticket, _ *yuccahinge.Service) {
+				x.Calendars = map[yuccahinge.CalendarName]*yuccahinge.Calendar{"et": {Holidays: []string{"2026-02-30"}}}
+			},
+			`"2026-02-30"`,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := searchService(1, 100)
+			x := serviceTicket(1, s)
+			tt.change(x, s)
+			if err := Check(x); err == nil || !strings.Contains(err.Error(), tt.want) {
+				t.Fatalf("error is %v, want one with %q", err, tt.want)
+			}
+		})
+	}
+}
+
+func TestFoldKeepsThePreviousIndex(t *testing.T) {
+	one, err := Fold(nil, serviceTicket(1, searchService(1, 100)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := Fold(one, serviceTicket(2, searchService(2, 200)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p := two.Services["trainer"].Previous; p == nil || p.Version != 1 {
+		t.Fatalf("previous is %v, want version 1", p)
+	}
+	if one.Services["trainer"].Previous != nil || one.Ticket != 1 {
+		t.Fatal("the fold changed the state before")
+	}
+	if err := CheckState(two); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Fold(two, serviceTicket(3, searchService(2, 300))); err == nil {
+		t.Fatal("a repartition under the same version was accepted")
+	}
+	if _, err := Fold(two, serviceTicket(4, searchService(3, 300))); err == nil {
+		t.Fatal("a gap was accepted")
+	}
+}
+
+func TestFoldResolvesCalendars(t *testing.T) {
+	s := searchService(1, 100)
+	s.Calendar = "et"
+	x := serviceTicket(1, s)
+	if _, err := Fold(nil, x); err == nil {
+		t.Fatal("a service with an unknown calendar was accepted")
+	}
+	x.Calendars = map[yuccahinge.CalendarName]*yuccahinge.Calendar{"et": {Holidays: []string{"2026-03-20"}}}
+	one, err := Fold(nil, x)
+	if err != nil {
+		t.Fatal(err)
+	}
+	drop := &yuccahinge.Ticket{Number: 2, Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{"et": nil}}
+	if _, err := Fold(one, drop); err == nil {
+		t.Fatal("a calendar in use was removed")
+	}
+	drop.Services = map[yuccahinge.ServiceName]*yuccahinge.Service{"trainer": nil}
+	if _, err := Fold(one, drop); err != nil {
+		t.Fatal(err)
+	}
+}
