--- /dev/null
+++ b/pace/pace_test.go
@@ -0,0 +1,29 @@
+package pace
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func TestPacerStaysWithinItsRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := Pacer{
+			PerSecond: rapid.Float64Range(0.5, 50).Draw(t, "rate"),
+			Burst:     rapid.Float64Range(1, 20).Draw(t, "burst"),
+		}
+		var now, end yuccahinge.Millis
+		calls := 0
+		for range rapid.IntRange(1, 100).Draw(t, "calls") {
+			now += yuccahinge.Millis(rapid.Float64Range(0, 500).Draw(t, "gap"))
+			end = max(end, now+p.Take(now))
+			calls++
+		}
+		allowed := p.Burst + p.PerSecond*float64(end/yuccahinge.Second) + 1e-6
+		if float64(calls) > allowed {
+			t.Fatalf("%d calls by %v ms, at most %v may start", calls, end, allowed)
+		}
+	})
+}
--- /dev/null
+++ b/source/client.go
@@ -0,0 +1,232 @@
+// Package source reads the configuration service and the membership list over HTTP.
+package source
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/pace"
+	"github.com/yuccahinge/yuccahinge/ticket"
+)
+
+// Bounds of replies, in bytes.
+const (
+	maxHeadBytes    = 4 << 10
+	maxStateBytes   = 16 << 20
+	maxMembersBytes = 16 << 20
+)
+
+// maxWait bounds how long one call to Head waits.
+const maxWait = 60 * yuccahinge.Second
+
+// Errors that tell how the platform answered.
+var (
+	ErrOverBudget = errors.New("platform refuses calls above its budget")
+	ErrDown       = errors.New("platform can not answer")
+	ErrMissing    = errors.New("platform has no such value")
+	ErrMalformed  = errors.New("platform answered something else than asked")
+)
+
+// Client reads one platform address. Set Base before the first use.
+type Client struct {
+	// Base is the root of the platform's API, such as http://127.0.0.1:9000.
+	Base string
+	// HTTP makes the calls; nil takes a client of this package.
+	HTTP *http.Client
+	// PerSecond and Burst bound the calls of this host; zero takes the defaults of package pace.
+	PerSecond float64
+	Burst     float64
+
+	mu    sync.Mutex
+	pacer pace.Pacer
+}
+
+var defaultHTTP = &http.Client{
+	Transport: &http.Transport{
+		MaxIdleConnsPerHost:   4,
+		IdleConnTimeout:       90 * time.Second,
+		ResponseHeaderTimeout: (maxWait + 10*yuccahinge.Second).Duration(),
+	},
+}
+
+type headReply struct {
+	Head *yuccahinge.TicketNumber `json:"head"`
+}
+
+type membersReply struct {
+	Members []yuccahinge.Member `json:"members"`
+}
+
+// Head returns the highest ticket number, waiting up to wait for one above after.
+func (c *Client) Head(ctx context.Context, after yuccahinge.TicketNumber, wait yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
+	query := url.Values{
+		"after":  {strconv.FormatUint(uint64(after), 10)},
+		"waitMs": {strconv.FormatInt(int64(min(max(wait, 0), maxWait)), 10)},
+	}
+	body, err := c.get(ctx, "/v1/head?"+query.Encode(), maxHeadBytes)
+	if err != nil {
+		return 0, err
+	}
+	return decodeHead(body)
+}
+
+func decodeHead(body []byte) (yuccahinge.TicketNumber, error) {
+	var reply headReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return 0, malformed(err)
+	}
+	if reply.Head == nil {
+		return 0, malformed(errors.New("head is missing"))
+	}
+	return *reply.Head, nil
+}
+
+// Ticket returns the ticket numbered n.
+func (c *Client) Ticket(ctx context.Context, n yuccahinge.TicketNumber) (*yuccahinge.Ticket, error) {
+	body, err := c.get(ctx, fmt.Sprintf("/v1/tickets/%d", n), ticket.MaxBytes)
+	if err != nil {
+		return nil, err
+	}
+	return decodeTicket(body, n)
+}
+
+func decodeTicket(body []byte, n yuccahinge.TicketNumber) (*yuccahinge.Ticket, error) {
+	t, err := ticket.Decode(body)
+	if err != nil {
+		return nil, err
+	}
+	if t.Number != n {
+		return nil, malformed(fmt.Errorf("ticket %d came for %d", t.Number, n))
+	}
+	return t, nil
+}
+
+// State returns the newest whole state, with its digest computed here when the platform sends none.
+func (c *Client) State(ctx context.Context) (*yuccahinge.State, error) {
+	body, err := c.get(ctx, "/v1/state", maxStateBytes)
+	if err != nil {
+		return nil, err
+	}
+	return decodeState(body)
+}
+
+func decodeState(body []byte) (*yuccahinge.State, error) {
+	s := new(yuccahinge.State)
+	if err := json.Unmarshal(body, s); err != nil {
+		return nil, malformed(err)
+	}
+	if s.Digest == "" {
+		s.Digest = ticket.DigestOf(s)
+	}
+	if err := ticket.CheckState(s); err != nil {
+		return nil, malformed(err)
+	}
+	return s, nil
+}
+
+// Members returns the membership list.
+func (c *Client) Members(ctx context.Context) ([]yuccahinge.Member, error) {
+	body, err := c.get(ctx, "/v1/members", maxMembersBytes)
+	if err != nil {
+		return nil, err
+	}
+	return decodeMembers(body)
+}
+
+func decodeMembers(body []byte) ([]yuccahinge.Member, error) {
+	var reply membersReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return nil, malformed(err)
+	}
+	return reply.Members, nil
+}
+
+func (c *Client) get(ctx context.Context, path string, limit int64) ([]byte, error) {
+	if err := c.wait(ctx); err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Base+path, nil)
+	if err != nil {
+		return nil, c.failed(yuccahinge.CodeInvalid, "the platform's address is malformed", err)
+	}
+	response, err := c.client().Do(request)
+	if err != nil {
+		return nil, c.failed(yuccahinge.CodeUnavailable, "the call failed", errors.Join(ErrDown, err))
+	}
+	defer response.Body.Close()
+	if err := c.checkStatus(response.StatusCode); err != nil {
+		return nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, limit+1))
+	if err != nil {
+		return nil, c.failed(yuccahinge.CodeUnavailable, "the reply broke off", errors.Join(ErrDown, err))
+	}
+	if int64(len(body)) > limit {
+		return nil, c.failed(yuccahinge.CodeTooLarge, fmt.Sprintf("the reply is above %d bytes", limit), ErrMalformed)
+	}
+	return body, nil
+}
+
+// wait keeps this host within its share of the platform's call budget.
+func (c *Client) wait(ctx context.Context) error {
+	c.mu.Lock()
+	c.pacer.PerSecond = c.PerSecond
+	c.pacer.Burst = c.Burst
+	delay := c.pacer.Take(clock.Clock{}.Now())
+	c.mu.Unlock()
+	if delay <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(delay.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return c.failed(yuccahinge.CodeDeadline, "the host's own call budget is spent", ctx.Err())
+	}
+}
+
+func (c *Client) client() *http.Client {
+	if c.HTTP != nil {
+		return c.HTTP
+	}
+	return defaultHTTP
+}
+
+func (c *Client) checkStatus(status int) error {
+	switch {
+	case status == http.StatusOK:
+		return nil
+	case status == http.StatusTooManyRequests:
+		return c.failed(yuccahinge.CodeUnavailable, "status 429", ErrOverBudget)
+	case status == http.StatusNotFound:
+		return c.failed(yuccahinge.CodeNotFound, "status 404", ErrMissing)
+	case status >= http.StatusInternalServerError:
+		return c.failed(yuccahinge.CodeUnavailable, fmt.Sprintf("status %d", status), ErrDown)
+	}
+	return c.failed(yuccahinge.CodeInvalid, fmt.Sprintf("status %d", status), ErrMalformed)
+}
+
+func (c *Client) failed(code yuccahinge.Code, message string, err error) error {
+	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepPlatform, Peer: c.Base, Message: message, Err: err}
+}
+
+func malformed(err error) error {
+	return &yuccahinge.Error{
+		Code:    yuccahinge.CodeInvalid,
+		Step:    yuccahinge.StepPlatform,
+		Message: "the reply is malformed",
+		Err:     errors.Join(ErrMalformed, err),
+	}
+}
--- /dev/null
+++ b/source/client_test.go
@@ -0,0 +1,57 @@
+package source
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+var _ yuccahinge.Source = (*Client)(nil)
+
+func serve(t *testing.T, status int, body string) *Client {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	return &Client{Base: server.URL}
+}
+
+func TestStatusesAreTyped(t *testing.T) {
+	for _, tt := range []struct {
+		status int
+		body   string
+		want   error
+	}{
+		{http.StatusTooManyRequests, "", ErrOverBudget},
+		{http.StatusServiceUnavailable, "", ErrDown},
+		{http.StatusNotFound, "", ErrMissing},
+		{http.StatusTeapot, "", ErrMalformed},
+		{http.StatusOK, `{"head":-1}`, ErrMalformed},
+		{http.StatusOK, `{}`, ErrMalformed},
+		{http.StatusOK, `{"head":1` + strings.Repeat(" ", maxHeadBytes) + `}`, ErrMalformed},
+	} {
+		_, err := serve(t, tt.status, tt.body).Head(context.Background(), 0, 0)
+		if !errors.Is(err, tt.want) {
+			t.Errorf("status %d body %.20q gives %v, want %v", tt.status, tt.body, err, tt.want)
+		}
+	}
+}
+
+func TestHeadAndTicket(t *testing.T) {
+	head, err := serve(t, http.StatusOK, `{"head":7}`).Head(context.Background(), 3, 0)
+	if err != nil || head != 7 {
+		t.Fatalf("head is %d, %v", head, err)
+	}
+	if _, err := serve(t, http.StatusOK, `{"number":8}`).Ticket(context.Background(), 7); !errors.Is(err, ErrMalformed) {
+		t.Fatalf("another ticket than asked gives %v", err)
+	}
+	if _, err := serve(t, http.StatusOK, `{"ticket":1,"digest":"x"}`).State(context.Background()); !errors.Is(err, ErrMalformed) {
+		t.Fatalf("a state with a wrong digest gives %v", err)
+	}
+}
