Add roster: who the entry hosts are, from their own word, calls and the list

The platform's list lags and may lie, so it only introduces hosts and says that one leaves; a host's own word, ordered by an epoch that only it raises, wins. Rows ride along on exchanges, and buckets of hashes find what differs, so the traffic does not grow with the square of the fleet.

--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,108 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+var _ yuccahinge.Roster = (*Roster)(nil)
+
+func member(id string, life yuccahinge.Incarnation) yuccahinge.Member {
+	return yuccahinge.Member{
+		ID: id, Domain: "a", Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive,
+		Incarnation: life, PeerAddr: "127.0.0.1:1",
+	}
+}
+
+func status(r *Roster, id yuccahinge.HostID) yuccahinge.MemberStatus {
+	m, ok := r.Find(id)
+	if !ok {
+		return yuccahinge.StatusDead
+	}
+	return m.Status
+}
+
+func TestListNeverEndsAHost(t *testing.T) {
+	r := &Roster{Self: member("h1", "x")}
+	r.Heard(1000, Row{Member: member("h2", "y"), Epoch: 5})
+	r.Listed(2000, nil)
+	dead := member("h2", "y")
+	dead.Status = yuccahinge.StatusDead
+	r.Listed(3000, []yuccahinge.Member{dead})
+	r.Tick(60000)
+	if got := status(r, "h2"); got != yuccahinge.StatusLive {
+		t.Fatalf("status is %s", got)
+	}
+}
+
+func TestLeavingSticksToTheIncarnation(t *testing.T) {
+	r := &Roster{Self: member("h1", "x")}
+	r.Heard(1000, Row{Member: member("h2", "y"), Epoch: 5})
+	leaving := member("h2", "y")
+	leaving.Status = yuccahinge.StatusLeaving
+	r.Listed(2000, []yuccahinge.Member{leaving})
+	r.Heard(3000, Row{Member: member("h2", "y"), Epoch: 9})
+	if got := status(r, "h2"); got != yuccahinge.StatusLeaving {
+		t.Fatalf("status is %s", got)
+	}
+	r.Heard(4000, Row{Member: member("h2", "z"), Epoch: 10})
+	r.Listed(5000, []yuccahinge.Member{leaving})
+	if got := status(r, "h2"); got != yuccahinge.StatusLive {
+		t.Fatalf("status of the next life is %s", got)
+	}
+}
+
+func TestFailedCallsEndASilentHost(t *testing.T) {
+	r := &Roster{Self: member("h1", "x")}
+	r.Heard(1000, Row{Member: member("h2", "y"), Epoch: 5})
+	r.Failed(2000, "h2")
+	if got := status(r, "h2"); got != yuccahinge.StatusLive {
+		t.Fatalf("status after one failure is %s", got)
+	}
+	r.Failed(3000, "h2")
+	if got := status(r, "h2"); got != yuccahinge.StatusSuspect {
+		t.Fatalf("status after two failures is %s", got)
+	}
+	r.Tick(3000 + DefaultDeadAfter)
+	if got := status(r, "h2"); got != yuccahinge.StatusDead {
+		t.Fatalf("status after a while is %s", got)
+	}
+	r.Heard(20000, Row{Member: member("h2", "y"), Epoch: 5})
+	if got := status(r, "h2"); got != yuccahinge.StatusLive {
+		t.Fatalf("status of a host that answers again is %s", got)
+	}
+}
+
+func TestHostRefutesItsDeath(t *testing.T) {
+	h1 := &Roster{Self: member("h1", "x")}
+	h2 := &Roster{Self: member("h2", "y")}
+	h1.Heard(1000, h2.Own(1000))
+	h1.Failed(2000, "h2")
+	h1.Failed(2001, "h2")
+	h2.Merge(3000, h1.Delta("h2", 8))
+	h1.Merge(3001, h2.Delta("h1", 8))
+	if got := status(h1, "h2"); got != yuccahinge.StatusLive {
+		t.Fatalf("status is %s", got)
+	}
+}
+
+func TestSumsAgreeAfterOneComparison(t *testing.T) {
+	a := &Roster{Self: member("a", "x")}
+	b := &Roster{Self: member("b", "y")}
+	for i := range 300 {
+		row := Row{Member: member(fmt.Sprint("h", i), "z"), Epoch: 1}
+		a.Merge(1000, []Row{row})
+	}
+	b.Heard(1000, a.Own(1000))
+	a.Heard(1000, b.Own(1000))
+	rows := a.Rows(b.Sums())
+	b.Merge(2000, rows)
+	if a.Sum() != b.Sum() {
+		t.Fatal("sums differ")
+	}
+	if rows := a.Rows(b.Sums()); len(rows) != 0 {
+		t.Fatalf("%d rows differ", len(rows))
+	}
+}
