--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,256 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/ticket"
+)
+
+// testClock reads the time of the synctest bubble.
+type testClock struct{}
+
+func (testClock) Now() yuccahinge.Millis {
+	return yuccahinge.Millis(time.Now().UnixMicro()) / 1000
+}
+
+// fleet is a set of keepers that call each other in memory, with a platform that may be down.
+type fleet struct {
+	t        *testing.T
+	mu       sync.Mutex
+	handlers map[string]map[yuccahinge.PeerMethod]yuccahinge.PeerHandler
+	cut      func(from, to string) bool
+	bytes    int
+	calls    int
+
+	tickets []*yuccahinge.Ticket
+	state   *yuccahinge.State
+	down    bool
+	reads   int
+	keepers []*Keeper
+	events  []yuccahinge.Event
+}
+
+type caller struct {
+	f    *fleet
+	from string
+}
+
+var errCut = errors.New("cut")
+
+func (c caller) Call(ctx context.Context, addr string, method yuccahinge.PeerMethod, in, out any) error {
+	time.Sleep(time.Millisecond)
+	body, err := cbor.Marshal(in)
+	if err != nil {
+		return err
+	}
+	c.f.mu.Lock()
+	handler := c.f.handlers[addr][method]
+	cut := c.f.cut != nil && c.f.cut(c.from, addr)
+	c.f.bytes += len(body)
+	c.f.calls++
+	c.f.mu.Unlock()
+	if handler == nil || cut {
+		return errCut
+	}
+	reply, err := handler(ctx, func(v any) error { return cbor.Unmarshal(body, v) })
+	if err != nil {
+		return err
+	}
+	body, err = cbor.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	c.f.mu.Lock()
+	c.f.bytes += len(body)
+	c.f.mu.Unlock()
+	return cbor.Unmarshal(body, out)
+}
+
+func (f *fleet) Head(ctx context.Context, after yuccahinge.TicketNumber, wait yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
+	end := time.Now().Add(wait.Duration())
+	for {
+		f.mu.Lock()
+		head, down := yuccahinge.TicketNumber(len(f.tickets)), f.down
+		f.reads++
+		f.mu.Unlock()
+		if down {
+			return 0, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform}
+		}
+		if ctx.Err() != nil {
+			return 0, ctx.Err()
+		}
+		if head > after || !time.Now().Before(end) {
+			return head, nil
+		}
+		pause(ctx, 10)
+	}
+}
+
+func (f *fleet) Ticket(_ context.Context, n yuccahinge.TicketNumber) (*yuccahinge.Ticket, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform}
+	}
+	return f.tickets[n-1], nil
+}
+
+func (f *fleet) State(context.Context) (*yuccahinge.State, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform}
+	}
+	return f.state, nil
+}
+
+func (f *fleet) Members(context.Context) ([]yuccahinge.Member, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errCut
+	}
+	out := []yuccahinge.Member{{ID: "s9", Role: yuccahinge.RoleSearcher, Status: yuccahinge.StatusLeaving, Incarnation: "l1"}}
+	for _, k := range f.keepers {
+		out = append(out, k.Self)
+	}
+	return out, nil
+}
+
+func (f *fleet) Record(e yuccahinge.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, e)
+	if e.Code == event.InvariantBroken {
+		f.t.Errorf("invariant: %s", e.Detail)
+	}
+}
+
+// publish adds a ticket that confirms one more holiday.
+func (f *fleet) publish() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := yuccahinge.TicketNumber(len(f.tickets) + 1)
+	day := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).AddDate(0, 0, int(n)).Format(time.DateOnly)
+	t := &yuccahinge.Ticket{
+		Number:    n,
+		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{"et": {Holidays: []string{day}}},
+	}
+	next, err := ticket.Fold(f.state, t)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.tickets = append(f.tickets, t)
+	f.state = next
+}
+
+// add makes a keeper of a domain; run starts it.
+func (f *fleet) add(i int, domain yuccahinge.DomainID) *Keeper {
+	id := fmt.Sprintf("h%02d", i)
+	addr := fmt.Sprintf("127.0.0.1:%d", 7000+i)
+	k := &Keeper{
+		Self:   yuccahinge.Member{ID: id, Domain: domain, Incarnation: "l1", PeerAddr: addr, Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive},
+		Source: f, Peers: caller{f: f, from: addr}, Clock: testClock{}, Recorder: f, Seed: 7,
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.handlers == nil {
+		f.handlers = make(map[string]map[yuccahinge.PeerMethod]yuccahinge.PeerHandler)
+	}
+	methods := make(map[yuccahinge.PeerMethod]yuccahinge.PeerHandler)
+	k.Register(func(m yuccahinge.PeerMethod, h yuccahinge.PeerHandler) { methods[m] = h })
+	f.handlers[addr] = methods
+	f.keepers = append(f.keepers, k)
+	return k
+}
+
+func run(ctx context.Context, wait *sync.WaitGroup, k *Keeper) {
+	wait.Go(func() { _ = k.Run(ctx) })
+}
+
+// inForce returns the number of keepers that have n in force.
+func (f *fleet) inForce(n yuccahinge.TicketNumber) int {
+	count := 0
+	for _, k := range f.keepers {
+		if s, _ := k.State(); s != nil && s.Ticket >= n {
+			count++
+		}
+	}
+	return count
+}
+
+func TestTicketIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t}
+		f.publish()
+		var wait sync.WaitGroup
+		for i := range 9 {
+			run(ctx, &wait, f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3))))
+		}
+		time.Sleep(5 * time.Second)
+		for _, k := range f.keepers {
+			if ok, why := k.Ready(); !ok {
+				t.Errorf("%s is not ready: %s", k.Self.ID, why)
+			}
+			if !k.Draining("s9") {
+				t.Errorf("%s does not know that s9 is leaving", k.Self.ID)
+			}
+			if n := len(k.Roster().Members()); n != 9 {
+				t.Errorf("%s knows %d members", k.Self.ID, n)
+			}
+		}
+		for n := yuccahinge.TicketNumber(2); n < 12; n++ {
+			f.publish()
+			time.Sleep(4 * time.Second)
+			if got := f.inForce(n); got != 9 {
+				t.Errorf("ticket %d is in force on %d of 9 hosts", n, got)
+			}
+		}
+		cancel()
+		wait.Wait()
+	})
+}
+
+func TestFreshHostLearnsFromAPeerWhileThePlatformIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t}
+		f.publish()
+		var wait sync.WaitGroup
+		run(ctx, &wait, f.add(0, "d0"))
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		f.down = true
+		f.mu.Unlock()
+		lone := f.add(1, "d1")
+		run(ctx, &wait, lone)
+		time.Sleep(5 * time.Second)
+		if ok, why := lone.Ready(); ok || why == "" {
+			t.Errorf("a host with all unreachable is ready %v: %q", ok, why)
+		}
+		fresh := f.add(2, "d1")
+		fresh.Seeds = []string{"127.0.0.1:7000"}
+		run(ctx, &wait, fresh)
+		time.Sleep(5 * time.Second)
+		if ok, why := fresh.Ready(); !ok {
+			t.Errorf("not ready: %s", why)
+		}
+		s, age := fresh.State()
+		if s == nil || s.Ticket != 1 || age < 5*yuccahinge.Second {
+			t.Errorf("state %v of age %v", s, age)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
