Add the stand-ins for platform, searchers and links

Change: standin/plat, standin/back and standin/link hold the three stand-ins, usable in-process; cmd/standin runs each as a process. Checked: go test -race ./standin/... passes.

--- /dev/null
+++ b/cmd/standin/link.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/standin/link"
+)
+
+type linkCommand struct {
+	command *flaggy.Subcommand
+	link    link.Link
+	delayMs float64
+}
+
+func newLink() *linkCommand {
+	l := &linkCommand{command: flaggy.NewSubcommand("link")}
+	l.command.Description = "a TCP relay that can be cut, delayed or frozen"
+	l.link.ListenAddr, l.link.ControlAddr = "127.0.0.1:0", "127.0.0.1:0"
+	l.command.String(&l.link.ListenAddr, "", "listen", "address that is relayed")
+	l.command.String(&l.link.ControlAddr, "", "control", "address for faults and counters")
+	l.command.String(&l.link.Target, "", "target", "address that the link leads to")
+	l.command.Float64(&l.delayMs, "", "delay-ms", "delay of one way in milliseconds")
+	return l
+}
+
+func (l *linkCommand) run(ctx context.Context) error {
+	if err := l.link.Listen(); err != nil {
+		return err
+	}
+	l.link.Fault(link.Faults{Cut: link.CutNone, DelayMs: yuccahinge.Millis(l.delayMs)})
+	announce(ready{Role: "link", Listen: l.link.Addr(), Control: l.link.Control()})
+	return l.link.Run(ctx)
+}
--- /dev/null
+++ b/standin/back/hits.go
@@ -0,0 +1,54 @@
+package back
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Document is what a stand-in hit carries.
+type Document struct {
+	Title   string                  `json:"title"`
+	Shard   yuccahinge.ShardID      `json:"shard"`
+	Version yuccahinge.IndexVersion `json:"version"`
+	// Expires is a date that a holiday moves to the next working day.
+	Expires string `json:"expires"`
+}
+
+// Hits returns the n hits that any searcher gives for the request. They depend on the service, shard,
+// index version, query and calendar alone, so that an answer can be checked against them.
+func Hits(r *yuccahinge.ShardRequest, n int) []yuccahinge.Hit {
+	hits := make([]yuccahinge.Hit, n)
+	for i := range hits {
+		hits[i] = hit(r, i)
+	}
+	return hits
+}
+
+func hit(r *yuccahinge.ShardRequest, i int) yuccahinge.Hit {
+	id := fmt.Sprintf("%s-%d-%d-%d", r.Service, r.IndexVersion, r.Shard, i)
+	h := xxhash.Sum64String(id + string(r.Query))
+	doc, _ := json.Marshal(Document{
+		Title:   fmt.Sprintf("%s record %04x", r.Service, h&0xffff),
+		Shard:   r.Shard,
+		Version: r.IndexVersion,
+		Expires: expires(h, r.Calendar),
+	})
+	return yuccahinge.Hit{
+		ID:    yuccahinge.DocumentID(id),
+		Score: float64(h>>40) / float64(1<<24),
+		Doc:   doc,
+	}
+}
+
+func expires(h uint64, cal *yuccahinge.Calendar) string {
+	day := time.Date(2026, time.December, 1+int(h%28), 0, 0, 0, 0, time.UTC)
+	for cal != nil && slices.Contains(cal.Holidays, day.Format(time.DateOnly)) {
+		day = day.AddDate(0, 0, 1)
+	}
+	return day.Format(time.DateOnly)
+}
