--- /dev/null
+++ b/entry/charge.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func (f *Front) grant(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
+	var req yuccahinge.ClaimRequest
+	if err := decode(w, r, &req); err != nil {
+		writeError(w, id, err)
+		return
+	}
+	if err := checkKey(req.Key); err != nil {
+		writeError(w, id, err)
+		return
+	}
+	g, err := f.Charger.Grant(r.Context(), req)
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, g)
+}
+
+func (f *Front) lookup(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
+	ans, err := f.Charger.Lookup(r.Context(), yuccahinge.ClaimID(r.PathValue("claim")))
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	ans.RequestID = id
+	writeJSON(w, http.StatusOK, ans)
+}
+
+func (f *Front) charge(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
+	var body json.RawMessage
+	if err := decode(w, r, &body); err != nil {
+		writeError(w, id, err)
+		return
+	}
+	req := &yuccahinge.ChargeRequest{
+		RequestID: id,
+		Service:   yuccahinge.ServiceName(r.PathValue("service")),
+		Claim:     yuccahinge.ClaimID(r.Header.Get("Claim")),
+		Body:      body,
+	}
+	if req.Claim == "" {
+		f.requireClaim(w, r, req)
+		return
+	}
+	ans, err := f.Charger.Charge(r.Context(), req)
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	writeJSON(w, chargeStatus(ans.Outcome), ans)
+}
+
+// requireClaim refuses a charge without a claim and offers a fresh one for its key.
+func (f *Front) requireClaim(w http.ResponseWriter, r *http.Request, req *yuccahinge.ChargeRequest) {
+	key := keyOf(req.Body)
+	if err := checkKey(key); err != nil {
+		writeError(w, req.RequestID, err)
+		return
+	}
+	g, err := f.Charger.Grant(r.Context(), yuccahinge.ClaimRequest{Service: req.Service, Key: key})
+	if err != nil {
+		writeError(w, req.RequestID, err)
+		return
+	}
+	writeJSON(w, http.StatusPreconditionRequired, claimRequired(req.RequestID, g))
+}
+
+// keyOf returns the business key in the body, or a digest of the body where it names none.
+func keyOf(body json.RawMessage) string {
+	var named struct {
+		Key string `json:"key"`
+	}
+	if json.Unmarshal(body, &named) == nil && named.Key != "" {
+		return named.Key
+	}
+	return bodyKey(xxhash.Sum64(body))
+}
+
+func checkKey(key string) error {
+	if key == "" {
+		return invalid("key is missing")
+	}
+	if len(key) > maxKeyBytes {
+		return invalid("key is longer than 256 bytes")
+	}
+	return nil
+}
+
+func chargeStatus(o yuccahinge.Outcome) int {
+	switch o {
+	case yuccahinge.Ran:
+		return http.StatusOK
+	case yuccahinge.NotRun:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusGatewayTimeout
+	}
+}
--- /dev/null
+++ b/entry/health.go
@@ -0,0 +1,7 @@
+package entry
+
+// health is the body of healthz and readyz.
+type health struct {
+	Status string `json:"status"`
+	Reason string `json:"reason,omitempty"`
+}
--- /dev/null
+++ b/entry/search.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func (f *Front) search(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
+	req := &yuccahinge.SearchRequest{}
+	if err := decode(w, r, req); err != nil {
+		writeError(w, id, err)
+		return
+	}
+	req.RequestID = id
+	req.Service = yuccahinge.ServiceName(r.PathValue("service"))
+	if err := checkSearch(req); err != nil {
+		writeError(w, id, err)
+		return
+	}
+	ans, err := f.Searcher.Search(r.Context(), req)
+	if err != nil {
+		writeError(w, id, err)
+		return
+	}
+	writeAnswer(w, ans)
+}
+
+func checkSearch(r *yuccahinge.SearchRequest) error {
+	if len(r.Query) == 0 {
+		return invalid("query is missing")
+	}
+	return checkDeadline(r.DeadlineMs)
+}
+
+func checkDeadline(d yuccahinge.Millis) error {
+	if d < 0 {
+		return invalid(fmt.Sprintf("deadlineMs is %v, want more than 0", float64(d)))
+	}
+	if d > maxDeadline {
+		return invalid(fmt.Sprintf("deadlineMs is %v, want at most %v", float64(d), float64(maxDeadline)))
+	}
+	return nil
+}
+
+func writeAnswer(w http.ResponseWriter, ans *yuccahinge.SearchAnswer) {
+	covered := ans.Coverage.Asked - len(ans.Coverage.Lacking)
+	w.Header().Set("Coverage", fmt.Sprintf("%d/%d", covered, ans.Coverage.Asked))
+	status := http.StatusOK
+	if ans.Outcome == yuccahinge.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, ans)
+}
--- a/error.go
+++ b/error.go
@@ -47,6 +47,8 @@
 	Peer string
 	// Message is for people, lower case and without punctuation at its end.
 	Message string
+	// Outcome says what is known of whether the request ran; empty stands for Unknown.
+	Outcome Outcome
 	// Err is the cause, or nil.
 	Err error
 }
