--- /dev/null
+++ b/admin/port.go
@@ -0,0 +1,102 @@
+// Package admin provides the operators' HTTP port of an entry host.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// eventsPerPage bounds the events of one answer.
+const eventsPerPage = 5000
+
+// ring is the host's part of the time line.
+type ring interface {
+	Since(seq uint64) ([]yuccahinge.Event, uint64)
+}
+
+// Port serves operators. It never shares an address with callers. Set every field before the first request.
+type Port struct {
+	Status  func() yuccahinge.HostStatus
+	Confirm func(n yuccahinge.TicketNumber) yuccahinge.Confirmation
+	States  yuccahinge.StateHolder
+	Events  ring
+	Metrics http.Handler
+}
+
+// Handler returns the operators' routes.
+func (p *Port) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/status", p.status)
+	mux.HandleFunc("GET /v1/tickets/{n}", p.ticket)
+	mux.HandleFunc("GET /v1/state", p.state)
+	mux.HandleFunc("GET /v1/events", p.events)
+	mux.Handle("GET /metrics", p.Metrics)
+	return mux
+}
+
+func (p *Port) status(w http.ResponseWriter, _ *http.Request) {
+	write(w, http.StatusOK, p.Status())
+}
+
+func (p *Port) ticket(w http.ResponseWriter, r *http.Request) {
+	n, err := strconv.ParseUint(r.PathValue("n"), 10, 64)
+	if err != nil || n == 0 {
+		write(w, http.StatusBadRequest, problem("ticket number "+strconv.Quote(r.PathValue("n"))+" is not a positive whole number"))
+		return
+	}
+	write(w, http.StatusOK, p.Confirm(yuccahinge.TicketNumber(n)))
+}
+
+func (p *Port) state(w http.ResponseWriter, _ *http.Request) {
+	st, _ := p.States.State()
+	if st == nil {
+		write(w, http.StatusServiceUnavailable, problem("no state is in force yet"))
+		return
+	}
+	write(w, http.StatusOK, st)
+}
+
+func (p *Port) events(w http.ResponseWriter, r *http.Request) {
+	var since uint64
+	if s := r.URL.Query().Get("since"); s != "" {
+		n, err := strconv.ParseUint(s, 10, 64)
+		if err != nil {
+			write(w, http.StatusBadRequest, problem("since "+strconv.Quote(s)+" is not a whole number"))
+			return
+		}
+		since = n
+	}
+	got, next := p.Events.Since(since)
+	if len(got) > eventsPerPage {
+		got = got[:eventsPerPage]
+		next = got[eventsPerPage-1].Seq + 1
+	}
+	if got == nil {
+		got = []yuccahinge.Event{}
+	}
+	write(w, http.StatusOK, yuccahinge.EventPage{Events: got, Next: next})
+}
+
+func problem(message string) any {
+	type part struct {
+		Code    yuccahinge.Code `json:"code"`
+		Message string          `json:"message"`
+	}
+	return struct {
+		Error part `json:"error"`
+	}{part{yuccahinge.CodeInvalid, message}}
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,81 @@
+// Package meter provides the metrics of a host through OpenTelemetry, in the Prometheus text format.
+package meter
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	exporter "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Meter counts events and times requests. Start prepares it; before that it does nothing.
+type Meter struct {
+	registry *prometheus.Registry
+	source   metric.Meter
+	events   metric.Int64Counter
+	requests metric.Float64Histogram
+}
+
+// Start creates the instruments.
+func (m *Meter) Start() error {
+	m.registry = prometheus.NewRegistry()
+	exp, err := exporter.New(exporter.WithRegisterer(m.registry), exporter.WithoutScopeInfo())
+	if err != nil {
+		return err
+	}
+	m.source = sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("yuccahinge")
+	m.events, err = m.source.Int64Counter("yuccahinge.events", metric.WithDescription("Events of the time line by code."))
+	if err != nil {
+		return err
+	}
+	m.requests, err = m.source.Float64Histogram("yuccahinge.request.duration",
+		metric.WithUnit("ms"),
+		metric.WithDescription("Time from the arrival of a caller's request to the end of its answer."),
+		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 320, 500, 1000, 2000, 5000))
+	return err
+}
+
+// Count counts an event.
+func (m *Meter) Count(e yuccahinge.Event) {
+	if m.events == nil {
+		return
+	}
+	m.events.Add(context.Background(), 1, metric.WithAttributes(
+		attribute.Int("code", int(e.Code)), attribute.String("name", e.Name)))
+}
+
+// Gauge registers a value that is read whenever the metrics are.
+func (m *Meter) Gauge(name, description string, read func() float64) error {
+	_, err := m.source.Float64ObservableGauge(name,
+		metric.WithDescription(description),
+		metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+			o.Observe(read())
+			return nil
+		}))
+	return err
+}
+
+// Handler returns the page of metrics.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Wrap times every request of next by route and status.
+func (m *Meter) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := time.Now()
+		s := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(s, r)
+		m.requests.Record(r.Context(), float64(yuccahinge.MillisOf(time.Since(start))), metric.WithAttributes(
+			attribute.String("route", r.Pattern), attribute.String("status", strconv.Itoa(s.status))))
+	})
+}
--- /dev/null
+++ b/status.go
@@ -0,0 +1,19 @@
+package yuccahinge
+
+// HostStatus is what an entry host tells operators of itself.
+type HostStatus struct {
+	Host        HostID       `json:"host"`
+	Domain      DomainID     `json:"domain"`
+	Incarnation Incarnation  `json:"incarnation"`
+	Version     string       `json:"version"`
+	Ready       bool         `json:"ready"`
+	Reason      string       `json:"reason,omitempty"`
+	Phase       string       `json:"phase"`
+	UptimeMs    Millis       `json:"uptimeMs"`
+	Ticket      TicketNumber `json:"ticket"`
+	Digest      Digest       `json:"digest"`
+	StateAgeMs  Millis       `json:"stateAgeMs"`
+	InFlight    int          `json:"inFlight"`
+	Charges     int          `json:"charges"`
+	Members     []Member     `json:"members"`
+}
