--- /dev/null
+++ b/bench/fleet/fleet.go
@@ -0,0 +1,141 @@
+// Package fleet builds the stand-in searchers of one service and the links between its failure domains.
+package fleet
+
+import (
+	"context"
+	"fmt"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/standin/link"
+)
+
+// Fleet is the searchers of a plan and a link to each from each other domain.
+type Fleet struct {
+	Plan      Plan
+	Searchers []*Server
+
+	links map[route]*link.Link
+}
+
+// Server is a stand-in searcher and where it stands.
+type Server struct {
+	*back.Searcher
+	ID     yuccahinge.SearcherID
+	Domain yuccahinge.DomainID
+	Shard  int
+}
+
+// route leads from a domain to a searcher in another.
+type route struct {
+	from yuccahinge.DomainID
+	to   yuccahinge.SearcherID
+}
+
+const loopback = "127.0.0.1:0"
+
+// Start binds all addresses and runs the fleet in the group until ctx ends.
+func (f *Fleet) Start(ctx context.Context, group *errgroup.Group, seed uint64) error {
+	f.links = map[route]*link.Link{}
+	for shard := range f.Plan.FanOut {
+		for replica := range f.Plan.Replicas {
+			if err := f.startSearcher(ctx, group, shard, replica, seed); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startSearcher(ctx context.Context, group *errgroup.Group, shard, replica int, seed uint64) error {
+	p := &f.Plan
+	s := &Server{
+		ID:     yuccahinge.SearcherID(fmt.Sprintf("%s-%d-%d", p.Service, shard, replica)),
+		Domain: p.searcherDomain(shard, replica),
+		Shard:  shard,
+	}
+	s.Searcher = &back.Searcher{Config: back.Config{
+		ID:          s.ID,
+		Listen:      loopback,
+		Seed:        seed<<16 + uint64(len(f.Searchers)),
+		Slots:       p.Slots,
+		Queue:       p.Queue,
+		Connections: p.Connections,
+		ConnectMs:   p.ConnectMs,
+		MedianMs:    p.MedianMs,
+		Spread:      p.Spread,
+		RestartMs:   p.RestartMs,
+		ColdMs:      p.ColdMs,
+		WarmStart:   true,
+		Versions:    []yuccahinge.IndexVersion{1},
+	}}
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	group.Go(func() error { return s.Run(ctx) })
+	f.Searchers = append(f.Searchers, s)
+	for _, from := range p.Domains {
+		if err := f.startLink(ctx, group, from, s); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startLink(ctx context.Context, group *errgroup.Group, from yuccahinge.DomainID, s *Server) error {
+	if from == s.Domain {
+		return nil
+	}
+	l := &link.Link{ListenAddr: loopback, Target: s.Addr()}
+	if err := l.Listen(); err != nil {
+		return err
+	}
+	l.Fault(link.Faults{DelayMs: f.Plan.BetweenMs})
+	group.Go(func() error { return l.Run(ctx) })
+	f.links[route{from, s.ID}] = l
+	return nil
+}
+
+// Cut cuts the domain off from all others, or mends that.
+func (f *Fleet) Cut(domain yuccahinge.DomainID, cut bool) {
+	faults := link.Faults{DelayMs: f.Plan.BetweenMs}
+	if cut {
+		faults.Cut = link.CutBoth
+	}
+	for _, s := range f.Searchers {
+		for _, from := range f.Plan.Domains {
+			l := f.links[route{from, s.ID}]
+			if l != nil && (from == domain || s.Domain == domain) {
+				l.Fault(faults)
+			}
+		}
+	}
+}
+
+// Total sums the counters of all searchers.
+func (f *Fleet) Total() Total {
+	t := Total{Crashes: map[yuccahinge.DomainID]int{}}
+	for _, s := range f.Searchers {
+		c := s.Counters()
+		t.Received += c.Received
+		t.Runs += c.Runs
+		t.Finished += c.Finished
+		t.Connects += c.Connects
+		t.Refused += c.Refused
+		t.ConnectionsMost = max(t.ConnectionsMost, c.ConnectionsMost)
+		if c.Crashes > 0 {
+			t.Crashes[s.Domain] += c.Crashes
+		}
+	}
+	return t
+}
+
+// Total is what all searchers of a fleet counted.
+type Total struct {
+	Received, Runs, Finished, Connects, Refused int
+	// ConnectionsMost is the most connections at any one searcher.
+	ConnectionsMost int
+	Crashes         map[yuccahinge.DomainID]int
+}
--- /dev/null
+++ b/bench/fleet/plan.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"math"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Plan is the size of one service of a deployment, its entry hosts and its failure domains.
+type Plan struct {
+	Service yuccahinge.ServiceName `json:"service"`
+	FanOut  int                    `json:"fanOut"`
+	// Hosts is the number of entry hosts over all domains.
+	Hosts   int                   `json:"hosts"`
+	Domains []yuccahinge.DomainID `json:"domains"`
+	// BetweenMs is one way between domains, ClientMs one way between a client and an entry host.
+	BetweenMs yuccahinge.Millis `json:"betweenMs"`
+	ClientMs  yuccahinge.Millis `json:"clientMs"`
+	// Replicas is the number of searchers for each shard, each in another domain.
+	Replicas    int                   `json:"replicas"`
+	Slots       int                   `json:"slots"`
+	Queue       int                   `json:"queue"`
+	Connections int                   `json:"connections"`
+	ConnectMs   yuccahinge.Millis     `json:"connectMs"`
+	MedianMs    yuccahinge.Millis     `json:"medianMs"`
+	Spread      float64               `json:"spread"`
+	ColdMs      yuccahinge.Millis     `json:"coldMs,omitempty"`
+	RestartMs   yuccahinge.Millis     `json:"restartMs,omitempty"`
+	Protocol    yuccahinge.Protocol   `json:"protocol"`
+	Preference  yuccahinge.Preference `json:"preference"`
+	DeadlineMs  yuccahinge.Millis     `json:"deadlineMs"`
+	// SoftDeadlineMs and EnoughCoverage are for services that prefer latency.
+	SoftDeadlineMs yuccahinge.Millis `json:"softDeadlineMs,omitempty"`
+	EnoughCoverage float64           `json:"enoughCoverage,omitempty"`
+	VersionHoldMs  yuccahinge.Millis `json:"versionHoldMs"`
+}
+
+// Plans returns the services of both deployments at the sizes of today.
+func Plans() []Plan {
+	return []Plan{
+		consortium("trainerSearch", 20),
+		consortium("brothAudit", 30),
+		cooperative("dispatch", 20),
+		cooperative("memberPortal", 30),
+	}
+}
+
+func common(name yuccahinge.ServiceName, fanOut int) Plan {
+	return Plan{
+		Service:       name,
+		FanOut:        fanOut,
+		Hosts:         8,
+		Domains:       []yuccahinge.DomainID{"a", "b", "c"},
+		Replicas:      2,
+		Slots:         2,
+		Queue:         64,
+		Connections:   25,
+		ConnectMs:     6,
+		MedianMs:      20,
+		Spread:        0.25,
+		ColdMs:        5000,
+		RestartMs:     2000,
+		Protocol:      yuccahinge.HTTP1,
+		DeadlineMs:    2000,
+		VersionHoldMs: 30_000,
+	}
+}
+
+func consortium(name yuccahinge.ServiceName, fanOut int) Plan {
+	p := common(name, fanOut)
+	p.BetweenMs, p.ClientMs = 1.5, 1
+	p.Preference = yuccahinge.PreferLatency
+	p.SoftDeadlineMs = 400
+	p.EnoughCoverage = 0.9
+	return p
+}
+
+func cooperative(name yuccahinge.ServiceName, fanOut int) Plan {
+	p := common(name, fanOut)
+	p.BetweenMs, p.ClientMs = 1, 3
+	p.Preference = yuccahinge.PreferCoverage
+	return p
+}
+
+// Capacity returns the queries a second that keep all slots busy.
+func (p *Plan) Capacity() float64 {
+	mean := float64(p.MedianMs) * math.Exp(p.Spread*p.Spread/2)
+	return float64(p.Replicas*p.Slots) * float64(yuccahinge.Second) / mean
+}
+
+// HostDomain returns the domain of the entry host numbered i.
+func (p *Plan) HostDomain(i int) yuccahinge.DomainID {
+	return p.Domains[i%len(p.Domains)]
+}
+
+// searcherDomain returns the domain of a shard's replica.
+func (p *Plan) searcherDomain(shard, replica int) yuccahinge.DomainID {
+	return p.Domains[(shard+replica)%len(p.Domains)]
+}
+
+// HasReplica reports whether the domain has a searcher of the shard.
+func (p *Plan) HasReplica(shard int, domain yuccahinge.DomainID) bool {
+	for replica := range p.Replicas {
+		if p.searcherDomain(shard, replica) == domain {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/cmd/bench/main.go
@@ -0,0 +1,145 @@
+// Command bench measures the shipped policy against a plain baseline in one run, over real sockets.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/bench/scene"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// options are the settings of a run.
+type options struct {
+	list, json, csv bool
+	scenario        string
+	service         string
+	side            string
+	seed            uint64
+	seconds         float64
+	medianMs        float64
+}
+
+func main() {
+	o := options{service: "trainerSearch", seed: 1, seconds: 10}
+	flaggy.SetName("bench")
+	flaggy.SetDescription("Measures the shipped policy against a baseline over stand-in searchers.")
+	flaggy.Bool(&o.list, "", "list", "list the scenarios and services")
+	flaggy.String(&o.scenario, "", "scenario", "scenario to run, or all")
+	flaggy.String(&o.service, "", "service", "service whose size is taken")
+	flaggy.String(&o.side, "", "side", "run this side only")
+	flaggy.UInt64(&o.seed, "", "seed", "seed of arrivals and service times")
+	flaggy.Float64(&o.seconds, "", "seconds", "length of each measured phase")
+	flaggy.Float64(&o.medianMs, "", "median-ms", "median service time, 0 for the plan's")
+	flaggy.Bool(&o.json, "", "json", "print the result as JSON")
+	flaggy.Bool(&o.csv, "", "csv", "print the rows as CSV")
+	flaggy.Parse()
+	os.Exit(run(&o))
+}
+
+func run(o *options) int {
+	if o.list {
+		printList()
+		return 0
+	}
+	plan, ok := findPlan(o)
+	scenes := findScenes(o.scenario)
+	if !ok || len(scenes) == 0 {
+		fmt.Fprintln(os.Stderr, "name a scenario and a service that --list shows")
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	for _, s := range scenes {
+		result, err := runScene(ctx, o, &s, plan)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFailed
+		}
+		if ctx.Err() != nil {
+			return exitFailed
+		}
+		show(o, result)
+	}
+	return 0
+}
+
+func runScene(ctx context.Context, o *options, s *scene.Scene, plan fleet.Plan) (*scene.Result, error) {
+	if s.Adapt != nil {
+		s.Adapt(&plan)
+	}
+	result := &scene.Result{Scenario: s.Name, Service: string(plan.Service), Seed: o.seed, Plan: plan}
+	all := sides(plan.Connections)
+	if s.Sides != nil {
+		all = s.Sides(all)
+	}
+	for _, side := range all {
+		if o.side != "" && !strings.HasPrefix(side.Name, o.side) {
+			continue
+		}
+		report, err := s.Run(ctx, side, plan, o.seed, o.seconds)
+		if err != nil {
+			return nil, err
+		}
+		result.Sides = append(result.Sides, report)
+	}
+	if s.Judge != nil && len(result.Sides) > 0 {
+		result.Targets = s.Judge(result)
+	}
+	return result, nil
+}
+
+func findPlan(o *options) (fleet.Plan, bool) {
+	for _, p := range fleet.Plans() {
+		if string(p.Service) == o.service {
+			setMedian(&p, o.medianMs)
+			return p, true
+		}
+	}
+	return fleet.Plan{}, false
+}
+
+func findScenes(name string) []scene.Scene {
+	var out []scene.Scene
+	for _, s := range scene.All() {
+		if s.Name == name || name == "all" {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func printList() {
+	for _, s := range scene.All() {
+		fmt.Printf("%-16s %s\n", s.Name, s.About)
+	}
+	for _, p := range fleet.Plans() {
+		fmt.Printf("service %-16s fan-out %d, prefers %s\n", p.Service, p.FanOut, p.Preference)
+	}
+}
+
+func show(o *options, r *scene.Result) {
+	if o.json {
+		line, _ := json.Marshal(r)
+		fmt.Println(string(line))
+		return
+	}
+	if o.csv {
+		printCSV(r)
+		return
+	}
+	printTable(r)
+}
--- a/standin/back/config.go
+++ b/standin/back/config.go
@@ -22,6 +22,8 @@
 	// ColdMs is the time after a start during which runs take ColdFactor times as long.
 	ColdMs     yuccahinge.Millis `json:"coldMs,omitempty"`
 	ColdFactor float64           `json:"coldFactor,omitempty"`
+	// WarmStart makes the first life warm, so that only restarts are cold.
+	WarmStart bool `json:"warmStart,omitempty"`
 	// Versions are the index versions held; empty for every version.
 	Versions []yuccahinge.IndexVersion `json:"versions,omitempty"`
 	// HitsPerShard is the number of hits in a reply.
--- a/standin/back/life.go
+++ b/standin/back/life.go
@@ -21,6 +21,7 @@
 	s           *Searcher
 	incarnation yuccahinge.Incarnation
 	began       time.Time
+	warm        bool
 	slots       slots
 	killed      atomic.Bool
 	ctx         context.Context
--- a/standin/back/searcher.go
+++ b/standin/back/searcher.go
@@ -55,6 +55,7 @@
 	}
 	s.first, s.addr = ln, ln.Addr().String()
 	s.life.Store(newLife(s))
+	s.life.Load().warm = s.cfg.WarmStart
 	if s.cfg.Control == "" {
 		return nil
 	}
@@ -212,7 +213,7 @@
 	if f.SlowFactor > 0 {
 		ms *= f.SlowFactor
 	}
-	if time.Since(l.began) < s.cfg.ColdMs.Duration() {
+	if !l.warm && time.Since(l.began) < s.cfg.ColdMs.Duration() {
 		ms *= s.cfg.ColdFactor
 	}
 	return yuccahinge.Millis(ms).Duration()
