--- /dev/null
+++ b/budget/budget_test.go
@@ -0,0 +1,42 @@
+package budget
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestNeverMoreThanShareAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := Budget{Share: 0.1, Burst: rapid.IntRange(1, 5).Draw(t, "burst")}
+		first, extra := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"earn": func(t *rapid.T) {
+				n := rapid.IntRange(1, 30).Draw(t, "n")
+				b.Earn(n)
+				first += n
+			},
+			"take": func(*rapid.T) {
+				if b.Take() {
+					extra++
+				}
+			},
+			"": func(t *rapid.T) {
+				if bound := float64(b.Burst) + 0.1*float64(first); float64(extra) > bound {
+					t.Fatalf("%d extra attempts for %d first ones", extra, first)
+				}
+			},
+		})
+	})
+}
+
+func TestRecovers(t *testing.T) {
+	b := Budget{Share: 0.1, Burst: 1}
+	if !b.Take() || b.Take() {
+		t.Fatal("the burst is not one")
+	}
+	b.Earn(10)
+	if !b.Take() {
+		t.Fatal("ten first attempts did not earn an extra one")
+	}
+}
--- /dev/null
+++ b/gather/gather.go
@@ -0,0 +1,180 @@
+// Package gather provides the decisions of one search: whom to ask, when to ask again and when to answer.
+package gather
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// ErrCoverage reports that covered and lacking shards do not add up to the pinned shard map.
+var ErrCoverage = errors.New("covered and lacking shards differ from the shard map")
+
+// ErrForeign reports a counted reply that is not of this query.
+var ErrForeign = errors.New("a counted reply belongs to another request")
+
+// Gather is the state machine of one query over one pinned index. Set the exported fields, call Start
+// once, then Result for every attempt's end and Tick when NextTick falls due, and carry out the actions
+// that each returns; they are valid until the next call. After Finish, Answer is ready; Result must still
+// be called for attempts in flight, so that the Observer sees their end.
+//
+// A nil policy is left out: without Picker the replicas are taken in order, without Hedger there are no
+// hedges, and without budgets every shard may have its one hedge and its one retry.
+type Gather struct {
+	Request yuccahinge.RequestID
+	Service yuccahinge.ServiceName
+	Ticket  yuccahinge.TicketNumber
+	Index   *yuccahinge.Index
+	// Deadline is the instant of the answer at the latest.
+	Deadline yuccahinge.Millis
+	// SoftDeadline is the instant from which EnoughCoverage suffices; zero waits for every shard.
+	SoftDeadline yuccahinge.Millis
+	// EnoughCoverage is the share of shards, 0 to 1, that suffices at the soft deadline.
+	EnoughCoverage float64
+	// MaxHits bounds the hits of the answer; zero keeps all.
+	MaxHits int
+	// Canary asks one shard first and the others after its reply, so that a query that crashes searchers
+	// meets few of them.
+	Canary bool
+	// CanaryMs is the wait for a canary's reply before the next shard is asked as well.
+	CanaryMs yuccahinge.Millis
+	// Suspect says that the query lost a searcher before. It is neither hedged nor retried.
+	Suspect bool
+
+	Picker      yuccahinge.Picker
+	Hedger      yuccahinge.Hedger
+	Learner     yuccahinge.Learner
+	Observer    yuccahinge.Observer
+	RetryBudget yuccahinge.Budget
+	HedgeBudget yuccahinge.Budget
+	// Lost is told of a connection lost while the query ran, and whether a shard has replied to this
+	// query. It returns true when the query is to be given up as poisoned.
+	Lost func(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool
+
+	shards   []shard
+	attempts []attempt
+	out      []Action
+	settled  int
+	covered  int
+	invalid  int
+	lost     int
+	holding  bool // later shards wait for a canary
+	next     int  // the next shard to ask while holding
+	canaryAt yuccahinge.Millis
+	halfAt   yuccahinge.Millis
+	done     bool
+	poisoned bool
+	softSeen bool
+}
+
+// Start asks the shards.
+func (g *Gather) Start(now yuccahinge.Millis) []Action {
+	n := len(g.Index.Shards)
+	g.shards = make([]shard, n)
+	g.attempts = make([]attempt, 0, n+n/4+1)
+	g.out = make([]Action, 0, n+1)
+	for i := range g.shards {
+		g.shards[i].spec = &g.Index.Shards[i]
+	}
+	if (g.Canary || g.Suspect) && n > 1 {
+		g.holding = true
+		g.next = n
+		g.askCanary(now)
+	} else {
+		g.askAll(now)
+	}
+	return g.conclude(now)
+}
+
+// Result takes the end of an attempt.
+func (g *Gather) Result(now yuccahinge.Millis, id yuccahinge.AttemptID, r *yuccahinge.ShardResult) []Action {
+	g.out = g.out[:0]
+	a := g.attempt(id)
+	if a == nil || a.ended {
+		g.invalid++
+		return nil
+	}
+	a.ended = true
+	s := &g.shards[a.shard]
+	s.open--
+	g.observe(now, a, s, r)
+	if g.done {
+		return nil
+	}
+	g.take(now, id, a, s, r)
+	g.hedgeDue(now)
+	return g.conclude(now)
+}
+
+// Tick takes the passing of time.
+func (g *Gather) Tick(now yuccahinge.Millis) []Action {
+	g.out = g.out[:0]
+	if g.done {
+		return nil
+	}
+	if g.holding && now >= g.canaryAt {
+		g.askCanary(now)
+	}
+	g.hedgeDue(now)
+	return g.conclude(now)
+}
+
+// NextTick returns the instant at which Tick falls due, or false after the end.
+func (g *Gather) NextTick() (yuccahinge.Millis, bool) {
+	if g.done || g.shards == nil {
+		return 0, false
+	}
+	at := g.Deadline
+	if g.SoftDeadline > 0 && g.SoftDeadline < at && !g.softPassed() {
+		at = g.SoftDeadline
+	}
+	if g.holding {
+		return min(at, g.canaryAt), true
+	}
+	if !g.mayHedge() {
+		return at, true
+	}
+	for i := range g.shards {
+		s := &g.shards[i]
+		if s.hedgeAt > 0 && !s.settled() {
+			at = min(at, s.hedgeAt)
+		}
+	}
+	return at, true
+}
+
+// Done reports whether the query has ended.
+func (g *Gather) Done() bool { return g.done }
+
+// Poisoned reports whether the query was given up because it crashes searchers.
+func (g *Gather) Poisoned() bool { return g.poisoned }
+
+// Open returns the attempts that have not ended.
+func (g *Gather) Open() int {
+	n := 0
+	for i := range g.attempts {
+		if !g.attempts[i].ended {
+			n++
+		}
+	}
+	return n
+}
+
+// Sent returns the attempts sent.
+func (g *Gather) Sent() int { return len(g.attempts) }
+
+// HalfAt returns the instant at which half of the shards were covered, or false before. Unlike the end of
+// the query it tells of the load of the whole service and not of a straggler.
+func (g *Gather) HalfAt() (yuccahinge.Millis, bool) { return g.halfAt, g.halfAt > 0 }
+
+// Invalid returns the replies that did not count because they were late, doubled or of another request.
+func (g *Gather) Invalid() int { return g.invalid }
+
+func (g *Gather) attempt(id yuccahinge.AttemptID) *attempt {
+	if id == 0 || int(id) > len(g.attempts) {
+		return nil
+	}
+	return &g.attempts[id-1]
+}
+
+func (g *Gather) missing() int { return len(g.shards) - g.settled }
--- /dev/null
+++ b/gather/gather_test.go
@@ -0,0 +1,240 @@
+package gather
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/budget"
+	"pgregory.net/rapid"
+)
+
+func index(shards, replicas int) *yuccahinge.Index {
+	ix := &yuccahinge.Index{Version: 3, Searchers: map[yuccahinge.SearcherID]*yuccahinge.Searcher{}}
+	for i := range shards {
+		s := yuccahinge.Shard{ID: yuccahinge.ShardID(i)}
+		for j := range replicas {
+			id := yuccahinge.SearcherID(fmt.Sprintf("s%d-%d", i, j))
+			ix.Searchers[id] = &yuccahinge.Searcher{}
+			s.Searchers = append(s.Searchers, id)
+		}
+		ix.Shards = append(ix.Shards, s)
+	}
+	return ix
+}
+
+func reply(a Action) *yuccahinge.ShardResult {
+	return &yuccahinge.ShardResult{Outcome: yuccahinge.Ran, Reply: &yuccahinge.ShardReply{
+		RequestID: "r", Attempt: a.Attempt, Shard: a.Shard, IndexVersion: 3, Outcome: yuccahinge.Ran,
+	}}
+}
+
+func failed(o yuccahinge.Outcome, r yuccahinge.Reason) *yuccahinge.ShardResult {
+	return &yuccahinge.ShardResult{Outcome: o, Reason: r}
+}
+
+type fixedDelay yuccahinge.Millis
+
+func (d fixedDelay) Delay(yuccahinge.Millis, yuccahinge.ServiceName, yuccahinge.ShardID) (yuccahinge.Millis, bool) {
+	return yuccahinge.Millis(d), true
+}
+
+// model is the oracle: it sees the same results and keeps only what the rules say of them.
+type model struct {
+	now      yuccahinge.Millis
+	open     map[yuccahinge.AttemptID]Action
+	covered  map[yuccahinge.ShardID]bool
+	sent     map[yuccahinge.ShardID]map[Cause]int
+	allSent  int
+	notRun   int
+	finished bool
+}
+
+func (m *model) apply(t *rapid.T, actions []Action) {
+	for _, a := range actions {
+		if m.finished {
+			t.Fatalf("%s after the end", a.Kind)
+		}
+		switch a.Kind {
+		case Send:
+			if m.sent[a.Shard] == nil {
+				m.sent[a.Shard] = map[Cause]int{}
+			}
+			m.sent[a.Shard][a.Cause]++
+			if m.covered[a.Shard] || m.sent[a.Shard][a.Cause] > 1 {
+				t.Fatalf("a needless %s attempt at shard %d", a.Cause, a.Shard)
+			}
+			m.open[a.Attempt] = a
+			m.allSent++
+		case Finish:
+			m.finished = true
+		}
+	}
+}
+
+func TestAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 8).Draw(t, "shards")
+		g := &Gather{
+			Request: "r", Service: "trainer", Index: index(shards, rapid.IntRange(0, 3).Draw(t, "replicas")),
+			Deadline: 100, Canary: rapid.Bool().Draw(t, "canary"), Suspect: rapid.Bool().Draw(t, "suspect"),
+			Hedger: fixedDelay(10), RetryBudget: &budget.Budget{Burst: 2},
+		}
+		if rapid.Bool().Draw(t, "latencyFirst") {
+			g.SoftDeadline, g.EnoughCoverage = 50, 0.5
+		}
+		m := &model{open: map[yuccahinge.AttemptID]Action{}, covered: map[yuccahinge.ShardID]bool{}, sent: map[yuccahinge.ShardID]map[Cause]int{}}
+		m.apply(t, g.Start(m.now))
+		for !m.finished {
+			m.step(t, g)
+		}
+		m.check(t, g, shards)
+	})
+}
+
+// step delivers one result or lets the time pass to the next tick.
+func (m *model) step(t *rapid.T, g *Gather) {
+	ids := make([]yuccahinge.AttemptID, 0, len(m.open))
+	for id := range m.open {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	what := rapid.SampledFrom([]string{"tick", "ran", "ran", "refused", "lost", "foreign", "unsent"}).Draw(t, "what")
+	if what == "unsent" {
+		m.apply(t, g.Result(m.now, yuccahinge.AttemptID(m.allSent+1), failed(yuccahinge.Ran, "")))
+		return
+	}
+	if what == "tick" || len(ids) == 0 {
+		at, ok := g.NextTick()
+		if !ok || at <= m.now {
+			t.Fatalf("next tick is %g, %t at %g", at, ok, m.now)
+		}
+		m.now = at
+		m.apply(t, g.Tick(m.now))
+		return
+	}
+	a := m.open[rapid.SampledFrom(ids).Draw(t, "attempt")]
+	delete(m.open, a.Attempt)
+	r := reply(a)
+	switch what {
+	case "ran":
+		m.covered[a.Shard] = true
+	case "refused":
+		r = failed(yuccahinge.NotRun, yuccahinge.ReasonShed)
+		m.notRun++
+	case "lost":
+		r = failed(yuccahinge.Unknown, yuccahinge.ReasonLost)
+	case "foreign":
+		r.Reply.IndexVersion = 2
+	}
+	m.apply(t, g.Result(m.now, a.Attempt, r))
+	m.apply(t, g.Result(m.now, a.Attempt, reply(a)))
+}
+
+func (m *model) check(t *rapid.T, g *Gather, shards int) {
+	for _, a := range m.open {
+		m.apply(t, g.Result(m.now, a.Attempt, reply(a)))
+	}
+	answer, _, err := g.Answer()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lacking := map[yuccahinge.ShardID]bool{}
+	for _, l := range answer.Coverage.Lacking {
+		if l.Reason == "" || m.covered[l.Shard] || lacking[l.Shard] {
+			t.Fatalf("lacking shard %d with reason %q", l.Shard, l.Reason)
+		}
+		lacking[l.Shard] = true
+	}
+	if len(lacking)+len(m.covered) != shards {
+		t.Fatalf("%d covered and %d lacking of %d", len(m.covered), len(lacking), shards)
+	}
+	want := yuccahinge.Partial
+	if len(m.covered) == shards {
+		want = yuccahinge.Complete
+	} else if m.notRun == m.allSent {
+		want = yuccahinge.NotRun
+	}
+	if answer.Outcome != want {
+		t.Fatalf("outcome %s, want %s", answer.Outcome, want)
+	}
+	if g.Open() != 0 {
+		t.Fatalf("%d attempts are still open", g.Open())
+	}
+}
+
+func TestHedgesOnlyTheLastShards(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(20, 2), Deadline: 100, Hedger: fixedDelay(10)}
+	sends := slices.Clone(g.Start(0))
+	if out := g.Tick(10); len(out) != 0 {
+		t.Fatalf("hedged with all shards missing: %v", out)
+	}
+	for _, a := range sends[:18] {
+		g.Result(11, a.Attempt, reply(a))
+	}
+	if n := g.Sent(); n != 25 {
+		t.Fatalf("%d attempts, want 20 and a hedge for each of the last 5", n)
+	}
+}
+
+func TestCoveredIsWrittenAsRanges(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
+	for _, a := range slices.Clone(g.Start(0)) {
+		if a.Shard != 18 {
+			g.Result(1, a.Attempt, reply(a))
+		}
+	}
+	g.Tick(100)
+	answer, _, err := g.Answer()
+	if err != nil || !slices.Equal(answer.Coverage.Covered, []string{"0-17", "19"}) {
+		t.Fatalf("covered %v, %v", answer.Coverage.Covered, err)
+	}
+	if l := answer.Coverage.Lacking; len(l) != 1 || l[0] != (yuccahinge.Lack{Shard: 18, Reason: yuccahinge.ReasonTimeout}) {
+		t.Fatalf("lacking %v", l)
+	}
+}
+
+func TestQueryOfDeathMeetsTwoSearchers(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(20, 2), Deadline: 1000, Canary: true}
+	now := yuccahinge.Millis(0)
+	actions := slices.Clone(g.Start(now))
+	for !g.Done() {
+		now++
+		for _, a := range actions {
+			if a.Kind == Send {
+				g.Result(now, a.Attempt, failed(yuccahinge.Unknown, yuccahinge.ReasonLost))
+			}
+		}
+		at, _ := g.NextTick()
+		now = at
+		actions = slices.Clone(g.Tick(now))
+	}
+	if !g.Poisoned() || g.Sent() != 2 {
+		t.Fatalf("poisoned %t after %d searchers", g.Poisoned(), g.Sent())
+	}
+}
+
+func BenchmarkGather(b *testing.B) {
+	for _, n := range []int{20, 30, 460} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			ix := index(n, 2)
+			results := make([]*yuccahinge.ShardResult, n)
+			for i := range results {
+				results[i] = reply(Action{Attempt: yuccahinge.AttemptID(i + 1), Shard: yuccahinge.ShardID(i)})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				g := &Gather{Request: "r", Index: ix, Deadline: 100, Hedger: fixedDelay(10)}
+				g.Start(0)
+				for i, r := range results {
+					g.NextTick()
+					g.Result(1, yuccahinge.AttemptID(i+1), r)
+				}
+				if a, _, _ := g.Answer(); a.Outcome != yuccahinge.Complete {
+					b.Fatal("not complete")
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/gather/result.go
@@ -0,0 +1,140 @@
+package gather
+
+import "github.com/yuccahinge/yuccahinge"
+
+// observe passes the end of an attempt on to the policies.
+func (g *Gather) observe(now yuccahinge.Millis, a *attempt, s *shard, r *yuccahinge.ShardResult) {
+	if g.Observer != nil {
+		g.Observer.Ended(now, a.searcher, r)
+	}
+	if g.Learner == nil {
+		return
+	}
+	if r.Outcome == yuccahinge.Ran || r.Reason == yuccahinge.ReasonCanceled || r.Reason == yuccahinge.ReasonTimeout {
+		g.Learner.Learn(now, g.Service, s.spec.ID, now-a.sentAt)
+	}
+}
+
+// take counts the end of an attempt for its shard.
+func (g *Gather) take(now yuccahinge.Millis, id yuccahinge.AttemptID, a *attempt, s *shard, r *yuccahinge.ShardResult) {
+	a.notRun = r.Outcome == yuccahinge.NotRun
+	if r.Outcome == yuccahinge.Ran {
+		if g.echoes(id, s, r.Reply) {
+			g.cover(now, a.shard, s, r.Reply)
+			return
+		}
+		g.invalid++
+		r = &yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonInvalid}
+	}
+	if s.settled() {
+		return
+	}
+	s.reason = r.Reason
+	if r.Reason == yuccahinge.ReasonLost && g.giveUp(now, a.searcher) {
+		return
+	}
+	g.again(now, a.shard, s)
+}
+
+// echoes reports whether the reply is of this attempt.
+func (g *Gather) echoes(id yuccahinge.AttemptID, s *shard, r *yuccahinge.ShardReply) bool {
+	return r != nil &&
+		r.Outcome == yuccahinge.Ran &&
+		r.RequestID == g.Request &&
+		r.Attempt == id &&
+		r.Shard == s.spec.ID &&
+		r.IndexVersion == g.Index.Version
+}
+
+// cover counts a reply and cancels the other attempts at its shard.
+func (g *Gather) cover(now yuccahinge.Millis, i int, s *shard, reply *yuccahinge.ShardReply) {
+	if s.settled() {
+		return
+	}
+	s.reply = reply
+	g.settled++
+	g.covered++
+	if g.halfAt == 0 && 2*g.covered >= len(g.shards) {
+		g.halfAt = now
+	}
+	if s.open > 0 {
+		g.cancel(i)
+	}
+	if g.holding {
+		g.askAll(now)
+	}
+}
+
+func (g *Gather) cancel(i int) {
+	for j := range g.attempts {
+		a := &g.attempts[j]
+		if a.ended || a.canceled || (i >= 0 && a.shard != i) {
+			continue
+		}
+		a.canceled = true
+		g.out = append(g.out, Action{
+			Kind:     Cancel,
+			Attempt:  yuccahinge.AttemptID(j + 1),
+			Shard:    g.shards[a.shard].spec.ID,
+			Searcher: a.searcher,
+		})
+	}
+}
+
+// giveUp counts a lost connection and reports whether the query is poisoned.
+func (g *Gather) giveUp(now yuccahinge.Millis, id yuccahinge.SearcherID) bool {
+	g.lost++
+	proven := g.covered > 0
+	if g.Lost != nil {
+		g.poisoned = g.Lost(now, id, proven) || g.poisoned
+	} else {
+		g.poisoned = g.poisoned || !proven && (g.Suspect || g.lost > 1)
+	}
+	return g.poisoned
+}
+
+// again asks another replica after a failure, or settles the shard.
+func (g *Gather) again(now yuccahinge.Millis, i int, s *shard) {
+	if s.open > 0 {
+		return // a hedge may still reply
+	}
+	if g.holding {
+		g.nextCanary(now, s)
+		return
+	}
+	if s.retried || g.Suspect || now >= g.Deadline {
+		g.lack(s, s.reason)
+		return
+	}
+	if g.RetryBudget != nil && !g.RetryBudget.Take() {
+		g.lack(s, s.reason)
+		return
+	}
+	s.retried = true
+	s.hedgeAt = 0
+	if !g.ask(now, i, Retry) {
+		g.lack(s, s.reason)
+	}
+}
+
+// nextCanary goes on to another shard after a canary failed. The failed one's shard counts as not asked,
+// so that it has its turn with the others.
+func (g *Gather) nextCanary(now yuccahinge.Millis, s *shard) {
+	if g.lost > 0 {
+		g.canaryAt = now + afterLossMs
+		return
+	}
+	if s.sent >= maxTried {
+		g.lack(s, s.reason)
+	}
+	g.canaryAt = now
+	g.askCanary(now)
+}
+
+func (g *Gather) lack(s *shard, r yuccahinge.Reason) {
+	if s.settled() {
+		return
+	}
+	s.lack(r)
+	g.settled++
+}
--- /dev/null
+++ b/gather/shard.go
@@ -0,0 +1,38 @@
+package gather
+
+import "github.com/yuccahinge/yuccahinge"
+
+// maxTried bounds the attempts at one shard: the first, a hedge and a retry.
+const maxTried = 3
+
+// shard is the progress of one shard.
+type shard struct {
+	spec    *yuccahinge.Shard
+	reply   *yuccahinge.ShardReply
+	reason  yuccahinge.Reason
+	lacking bool
+	retried bool
+	open    int // attempts in flight
+	sent    int // attempts sent
+	tried   [maxTried]yuccahinge.SearcherID
+	hedgeAt yuccahinge.Millis // zero for no hedge
+}
+
+func (s *shard) settled() bool { return s.reply != nil || s.lacking }
+
+func (s *shard) lack(r yuccahinge.Reason) {
+	s.lacking = true
+	if s.reason == "" {
+		s.reason = r
+	}
+}
+
+// attempt is one call at a searcher.
+type attempt struct {
+	shard    int
+	searcher yuccahinge.SearcherID
+	sentAt   yuccahinge.Millis
+	ended    bool
+	canceled bool
+	notRun   bool
+}
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,70 @@
+// Package limit provides adaptive admission: a bound on a service's requests in flight that follows its latency.
+package limit
+
+import (
+	"sync"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Limit admits requests per service. It implements yuccahinge.Limiter. The zero value is ready to use.
+type Limit struct {
+	// Min and Max bound the requests in flight of one service.
+	Min, Max int
+	// Tolerance is the latency, as a multiple of the uncongested one, at which the bound starts to fall.
+	Tolerance float64
+
+	services sync.Map // of yuccahinge.ServiceName to *gate
+}
+
+const (
+	defaultMin       = 4
+	defaultMax       = 4096
+	defaultTolerance = 2.0
+)
+
+// Admit reports whether a request may start now.
+func (l *Limit) Admit(_ yuccahinge.Millis, service yuccahinge.ServiceName) bool {
+	return l.gate(service).admit()
+}
+
+// Release ends an admitted request and adapts the bound.
+func (l *Limit) Release(now yuccahinge.Millis, service yuccahinge.ServiceName, took yuccahinge.Millis, ok bool) {
+	l.gate(service).release(now, took, ok, l)
+}
+
+// Bound returns the present bound on the service's requests in flight.
+func (l *Limit) Bound(service yuccahinge.ServiceName) int {
+	return int(l.gate(service).bound.Load())
+}
+
+func (l *Limit) gate(service yuccahinge.ServiceName) *gate {
+	if v, ok := l.services.Load(service); ok {
+		return v.(*gate)
+	}
+	g := new(gate)
+	g.bound.Store(int64(min(initialBound, l.maximum())))
+	v, _ := l.services.LoadOrStore(service, g)
+	return v.(*gate)
+}
+
+func (l *Limit) minimum() int {
+	if l.Min > 0 {
+		return l.Min
+	}
+	return defaultMin
+}
+
+func (l *Limit) maximum() int {
+	if l.Max > 0 {
+		return l.Max
+	}
+	return defaultMax
+}
+
+func (l *Limit) tolerance() float64 {
+	if l.Tolerance > 1 {
+		return l.Tolerance
+	}
+	return defaultTolerance
+}
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,85 @@
+package limit
+
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+	"pgregory.net/rapid"
+)
+
+func TestInFlightNeverExceedsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := Limit{Min: 2, Max: 20}
+		inFlight := 0
+		now := yuccahinge.Millis(1)
+		t.Repeat(map[string]func(*rapid.T){
+			"admit": func(t *rapid.T) {
+				bound := l.Bound("s")
+				got := l.Admit(now, "s")
+				if want := inFlight < bound; got != want {
+					t.Fatalf("admitted %t with %d of %d in flight", got, inFlight, bound)
+				}
+				if got {
+					inFlight++
+				}
+			},
+			"release": func(t *rapid.T) {
+				if inFlight == 0 {
+					t.Skip("none in flight")
+				}
+				now += yuccahinge.Millis(rapid.IntRange(0, 50).Draw(t, "wait"))
+				l.Release(now, "s", yuccahinge.Millis(rapid.IntRange(1, 500).Draw(t, "took")), rapid.Bool().Draw(t, "ok"))
+				inFlight--
+			},
+			"": func(t *rapid.T) {
+				if b := l.Bound("s"); b < 2 || b > 20 {
+					t.Fatalf("bound is %d", b)
+				}
+			},
+		})
+	})
+}
+
+// TestFollowsCapacity runs a service with a fixed number of slots: the bound must settle where the slots
+// are busy and the queue stays short.
+func TestFollowsCapacity(t *testing.T) {
+	const slots, serviceMs = 20, 10
+	l := Limit{}
+	now := yuccahinge.Millis(0)
+	var busyUntil [slots]yuccahinge.Millis
+	type job struct{ start, end yuccahinge.Millis }
+	var jobs []job
+	for step := range 40000 {
+		now = yuccahinge.Millis(step) * 0.25
+		for len(jobs) > 0 && jobs[0].end <= now {
+			l.Release(now, "s", jobs[0].end-jobs[0].start, true)
+			jobs = jobs[1:]
+		}
+		if !l.Admit(now, "s") {
+			continue
+		}
+		free := 0
+		for i := range busyUntil {
+			if busyUntil[i] < busyUntil[free] {
+				free = i
+			}
+		}
+		busyUntil[free] = max(now, busyUntil[free]) + serviceMs
+		jobs = append(jobs, job{now, busyUntil[free]})
+	}
+	if b := l.Bound("s"); b < slots || b > 4*slots {
+		t.Fatalf("bound settled at %d for %d slots", b, slots)
+	}
+}
+
+func BenchmarkAdmitRelease(b *testing.B) {
+	var l Limit
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if l.Admit(1, "s") {
+				l.Release(1, "s", 5, true)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/query/engine_test.go
@@ -0,0 +1,249 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/hedge"
+	"github.com/yuccahinge/yuccahinge/limit"
+	"github.com/yuccahinge/yuccahinge/poison"
+	"github.com/yuccahinge/yuccahinge/ready"
+	"github.com/yuccahinge/yuccahinge/route"
+)
+
+type fixed struct{ state *yuccahinge.State }
+
+func (f *fixed) State() (*yuccahinge.State, yuccahinge.Millis) { return f.state, 5 }
+
+// caller is a fake of the searchers. Its function returns the result after any wait.
+type caller func(ctx context.Context, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult
+
+func (c caller) Query(ctx context.Context, id yuccahinge.SearcherID, _ *yuccahinge.Searcher, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+	return c(ctx, id, r)
+}
+
+func ran(r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+	hit := yuccahinge.Hit{ID: yuccahinge.DocumentID(fmt.Sprint("d", r.Shard)), Score: float64(r.Shard)}
+	return yuccahinge.ShardResult{Outcome: yuccahinge.Ran, Reply: &yuccahinge.ShardReply{
+		RequestID: r.RequestID, Attempt: r.Attempt, Shard: r.Shard, IndexVersion: r.IndexVersion,
+		Outcome: yuccahinge.Ran, Hits: []yuccahinge.Hit{hit},
+	}}
+}
+
+// index returns an index whose shard n is held by the searchers n-0 and n-1.
+func index(version yuccahinge.IndexVersion, shards int) yuccahinge.Index {
+	ix := yuccahinge.Index{Version: version, Searchers: map[yuccahinge.SearcherID]*yuccahinge.Searcher{}}
+	for i := range shards {
+		a, b := yuccahinge.SearcherID(fmt.Sprint(i, "-0")), yuccahinge.SearcherID(fmt.Sprint(i, "-1"))
+		ix.Searchers[a], ix.Searchers[b] = &yuccahinge.Searcher{Slots: 2}, &yuccahinge.Searcher{Slots: 2}
+		ix.Shards = append(ix.Shards, yuccahinge.Shard{ID: yuccahinge.ShardID(i), Searchers: []yuccahinge.SearcherID{a, b}})
+	}
+	return ix
+}
+
+func state(s *yuccahinge.Service) *fixed {
+	return &fixed{&yuccahinge.State{Ticket: 9, Services: map[yuccahinge.ServiceName]*yuccahinge.Service{"trainer": s}}}
+}
+
+func search(e *Engine, query string) (*yuccahinge.SearchAnswer, error) {
+	return e.Search(context.Background(), &yuccahinge.SearchRequest{RequestID: "r", Service: "trainer", Query: json.RawMessage(query), DeadlineMs: 300})
+}
+
+func code(err error) yuccahinge.Code {
+	var e *yuccahinge.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func TestSearchIsComplete(t *testing.T) {
+	e := &Engine{
+		States: state(&yuccahinge.Service{Index: index(1, 20), MaxHits: 3}),
+		Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+			return ran(r)
+		}),
+	}
+	a, err := search(e, `"q"`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Outcome != yuccahinge.Complete || a.Ticket != 9 || a.StateAgeMs != 5 || len(a.Hits) != 3 || a.Hits[0].ID != "d19" {
+		t.Fatalf("%+v", a)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	e := &Engine{States: state(&yuccahinge.Service{Index: index(1, 2)}), CatchUp: func(context.Context, yuccahinge.TicketNumber) error { return nil }}
+	query := json.RawMessage(`"q"`)
+	for _, c := range []struct {
+		request yuccahinge.SearchRequest
+		want    yuccahinge.Code
+	}{
+		{yuccahinge.SearchRequest{Service: "nobody", Query: query}, yuccahinge.CodeNotFound},
+		{yuccahinge.SearchRequest{Service: "trainer", Query: query, DeadlineMs: -1}, yuccahinge.CodeInvalid},
+		{yuccahinge.SearchRequest{Service: "trainer", Query: query, DeadlineMs: 1e12}, yuccahinge.CodeInvalid},
+		{yuccahinge.SearchRequest{Service: "trainer"}, yuccahinge.CodeInvalid},
+		{yuccahinge.SearchRequest{Service: "trainer", Query: query, MinTicket: 10}, yuccahinge.CodeUnavailable},
+		{yuccahinge.SearchRequest{Service: "trainer", Query: query, DeadlineMs: 1}, yuccahinge.CodeDeadline},
+	} {
+		if _, err := e.Search(t.Context(), &c.request); code(err) != c.want {
+			t.Errorf("%+v: %v, want %s", c.request, err, c.want)
+		}
+	}
+}
+
+func TestAllRefusedIsNotRun(t *testing.T) {
+	e := &Engine{
+		States: state(&yuccahinge.Service{Index: index(1, 3)}),
+		Caller: caller(func(context.Context, yuccahinge.SearcherID, *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+			return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonShed}
+		}),
+	}
+	if a, err := search(e, `"q"`); err != nil || a.Outcome != yuccahinge.NotRun || len(a.Coverage.Lacking) != 3 {
+		t.Fatalf("%+v, %v", a, err)
+	}
+}
+
+func TestLimiterSheds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{
+			States: state(&yuccahinge.Service{Index: index(1, 2)}), Limiter: &limit.Limit{Min: 1, Max: 1},
+			Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+				time.Sleep(10 * time.Millisecond)
+				return ran(r)
+			}),
+		}
+		done := make(chan error)
+		go func() {
+			_, err := search(e, `"q"`)
+			done <- err
+		}()
+		synctest.Wait()
+		if _, err := search(e, `"q"`); code(err) != yuccahinge.CodeUnavailable {
+			t.Errorf("%v", err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestSoftDeadlineFollowsThePreference(t *testing.T) {
+	for _, c := range []struct {
+		preference yuccahinge.Preference
+		took       time.Duration
+		lacking    int
+	}{
+		{yuccahinge.PreferLatency, 50 * time.Millisecond, 1},
+		{yuccahinge.PreferCoverage, 200 * time.Millisecond, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &Engine{
+				States: state(&yuccahinge.Service{Index: index(1, 4), Preference: c.preference, SoftDeadlineMs: 50, EnoughCoverage: 0.7}),
+				Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+					if r.Shard == 2 {
+						time.Sleep(200 * time.Millisecond)
+					}
+					return ran(r)
+				}),
+			}
+			start := time.Now()
+			a, err := search(e, `"q"`)
+			if err != nil || len(a.Coverage.Lacking) != c.lacking || time.Since(start).Round(time.Millisecond) != c.took {
+				t.Errorf("%s: %+v, %v after %v", c.preference, a, err, time.Since(start))
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+func TestHedgeCoversAStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, h := &route.Route{}, &hedge.Hedge{}
+		var calls atomic.Int64
+		var slow atomic.Bool
+		e := &Engine{
+			States: state(&yuccahinge.Service{Index: index(1, 4)}), Picker: r, Observer: r, Hedger: h, Learner: h,
+			Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+				calls.Add(1)
+				wait := 5 * time.Millisecond
+				if slow.Load() && r.Shard == 1 && r.Attempt <= 4 {
+					wait = 250 * time.Millisecond
+				}
+				time.Sleep(wait)
+				return ran(r)
+			}),
+		}
+		for range 100 {
+			if _, err := search(e, `"q"`); err != nil {
+				t.Fatal(err)
+			}
+		}
+		slow.Store(true)
+		start := time.Now()
+		a, err := search(e, `"q"`)
+		if err != nil || a.Outcome != yuccahinge.Complete || time.Since(start) > 15*time.Millisecond || calls.Load() != 405 {
+			t.Fatalf("%+v, %v after %v and %d calls", a, err, time.Since(start), calls.Load())
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+func TestQueryOfDeathCrashesTwo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var crashed atomic.Int64
+		r := &route.Route{}
+		e := &Engine{
+			States: state(&yuccahinge.Service{Index: index(1, 20)}), Poison: &poison.Poison{}, Canary: true, Picker: r, Observer: r,
+			Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+				if string(r.Query) != `"death"` {
+					return ran(r)
+				}
+				crashed.Add(1)
+				return yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonLost}
+			}),
+		}
+		for range 100 {
+			if _, err := search(e, `"death"`); code(err) != yuccahinge.CodePoisoned {
+				t.Fatal(err)
+			}
+			if a, err := search(e, `"good"`); err != nil || a.Outcome != yuccahinge.Complete {
+				t.Fatalf("%+v, %v", a, err)
+			}
+		}
+		if crashed.Load() != 2 {
+			t.Fatalf("%d searchers crashed", crashed.Load())
+		}
+	})
+}
+
+func TestVersionIsHeldUntilLoaded(t *testing.T) {
+	previous := index(1, 3)
+	var loaded atomic.Bool
+	e := &Engine{
+		States: state(&yuccahinge.Service{Index: index(2, 3), Previous: &previous}), Ready: &ready.Ready{},
+		Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+			res := ran(r)
+			res.Reply.Load = yuccahinge.LoadReport{Incarnation: "i", Versions: []yuccahinge.IndexVersion{1}}
+			if loaded.Load() {
+				res.Reply.Load.Versions = []yuccahinge.IndexVersion{1, 2}
+			}
+			return res
+		}),
+	}
+	for _, want := range []yuccahinge.IndexVersion{1, 1, 2} {
+		a, err := search(e, `"q"`)
+		if err != nil || a.IndexVersion != want || a.Outcome != yuccahinge.Complete {
+			t.Fatalf("%+v, %v, want version %d", a, err, want)
+		}
+		loaded.Store(true)
+	}
+}
--- /dev/null
+++ b/query/run.go
@@ -0,0 +1,248 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/gather"
+	"github.com/yuccahinge/yuccahinge/poison"
+)
+
+// run is one search in progress. The goroutine that calls do owns it; the goroutines of its attempts only
+// call the searcher and hand the result over.
+type run struct {
+	engine   *Engine
+	request  *yuccahinge.SearchRequest
+	state    *yuccahinge.State
+	service  *yuccahinge.Service
+	mark     yuccahinge.Fingerprint
+	index    *yuccahinge.Index
+	gather   gather.Gather
+	calendar *yuccahinge.Calendar
+	results  chan ended
+	cancels  []context.CancelFunc
+	proven   bool
+}
+
+// ended is the end of one attempt.
+type ended struct {
+	attempt  yuccahinge.AttemptID
+	searcher yuccahinge.SearcherID
+	result   *yuccahinge.ShardResult
+}
+
+func (q *run) prepare(arrived, deadline yuccahinge.Millis, verdict poison.Verdict) {
+	e := q.engine
+	q.index = e.index(e.now(), q.request.Service, q.service)
+	q.calendar = q.state.Calendars[q.service.Calendar]
+	q.results = make(chan ended, len(q.index.Shards)+1)
+	q.cancels = make([]context.CancelFunc, 0, len(q.index.Shards)+1)
+	q.gather = gather.Gather{
+		Request:        q.request.RequestID,
+		Service:        q.request.Service,
+		Ticket:         q.state.Ticket,
+		Index:          q.index,
+		Deadline:       deadline,
+		EnoughCoverage: q.service.EnoughCoverage,
+		MaxHits:        q.service.MaxHits,
+		Suspect:        verdict == poison.Suspect,
+		Picker:         e.Picker,
+		Hedger:         e.Hedger,
+		Learner:        e.Learner,
+		Observer:       e.Observer,
+		RetryBudget:    e.RetryBudget,
+		HedgeBudget:    e.HedgeBudget,
+	}
+	if q.service.Preference == yuccahinge.PreferLatency && q.service.SoftDeadlineMs > 0 {
+		q.gather.SoftDeadline = arrived + q.service.SoftDeadlineMs
+	}
+	if e.Poison != nil {
+		q.gather.Canary = e.Canary && !e.Poison.Proven(q.mark)
+		q.gather.Lost = q.lost
+	}
+}
+
+// do carries out the decisions until the answer is due.
+func (q *run) do(ctx context.Context) (*yuccahinge.SearchAnswer, error) {
+	e := q.engine
+	left := q.gather.Deadline + lingerMs - e.now()
+	// Calls may outlive the query: over HTTP/1.1 they are left to finish.
+	calls, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
+	q.act(calls, q.gather.Start(e.now()))
+	err := q.loop(ctx, calls)
+	if q.gather.Open() > 0 {
+		go q.drain(cancel)
+	} else {
+		cancel()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return q.answer()
+}
+
+func (q *run) loop(ctx, calls context.Context) error {
+	e := q.engine
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for !q.gather.Done() {
+		if at, ok := q.gather.NextTick(); ok {
+			timer.Reset((at - e.now()).Duration())
+		}
+		select {
+		case r := <-q.results:
+			q.act(calls, q.take(r))
+		case <-timer.C:
+			q.act(calls, q.gather.Tick(e.now()))
+		case <-ctx.Done():
+			q.abandon()
+			return &yuccahinge.Error{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepGather, Message: "the caller has gone", Err: ctx.Err()}
+		}
+	}
+	return nil
+}
+
+// take passes the end of an attempt on.
+func (q *run) take(r ended) []gather.Action {
+	e := q.engine
+	e.learn(r.searcher, r.result, q.index.Version)
+	if r.result.Outcome == yuccahinge.Ran && !q.proven {
+		q.proven = true
+		if e.Poison != nil {
+			e.Poison.Ran(e.now(), q.mark)
+		}
+	}
+	q.recordEnd(r)
+	return q.gather.Result(e.now(), r.attempt, r.result)
+}
+
+func (q *run) lost(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool {
+	confirmed := q.engine.Poison.Lost(now, q.mark, id, proven)
+	if confirmed {
+		q.engine.tellPoisoned(q.request, q.mark)
+	}
+	return confirmed
+}
+
+func (q *run) act(calls context.Context, actions []gather.Action) {
+	for i := range actions {
+		switch a := &actions[i]; a.Kind {
+		case gather.Send:
+			q.send(calls, a)
+		case gather.Cancel:
+			q.cancel(a)
+		}
+	}
+}
+
+func (q *run) send(calls context.Context, a *gather.Action) {
+	e := q.engine
+	ctx, cancel := context.WithCancel(calls)
+	q.cancels = append(q.cancels, cancel)
+	r := &yuccahinge.ShardRequest{
+		RequestID:    q.request.RequestID,
+		Attempt:      a.Attempt,
+		Service:      q.request.Service,
+		Shard:        a.Shard,
+		IndexVersion: q.index.Version,
+		Ticket:       q.state.Ticket,
+		Query:        q.request.Query,
+		Calendar:     q.calendar,
+		DeadlineMs:   max(0, a.Deadline-e.now()),
+	}
+	q.recordSend(a)
+	go q.call(ctx, a.Attempt, a.Searcher, r)
+}
+
+func (q *run) call(ctx context.Context, attempt yuccahinge.AttemptID, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) {
+	res := q.engine.Caller.Query(ctx, id, q.index.Searchers[id], r)
+	q.results <- ended{attempt, id, &res}
+}
+
+// cancel gives an attempt up. Over HTTP/1.1 a canceled call closes its connection, so that it is left to
+// finish unless the policy says otherwise.
+func (q *run) cancel(a *gather.Action) {
+	if q.engine.CancelHTTP1 || q.index.Searchers[a.Searcher].Protocol == yuccahinge.H2C {
+		q.cancels[a.Attempt-1]()
+	}
+}
+
+// abandon cancels every attempt after the caller has gone.
+func (q *run) abandon() {
+	for _, cancel := range q.cancels {
+		cancel()
+	}
+}
+
+// drain waits for the attempts that outlive the query, so that the policies see their ends.
+func (q *run) drain(cancel context.CancelFunc) {
+	defer cancel()
+	for q.gather.Open() > 0 {
+		r := <-q.results
+		q.engine.learn(r.searcher, r.result, q.index.Version)
+		q.gather.Result(q.engine.now(), r.attempt, r.result)
+	}
+}
+
+func (q *run) answer() (*yuccahinge.SearchAnswer, error) {
+	e := q.engine
+	if q.gather.Poisoned() {
+		return nil, fail(yuccahinge.CodePoisoned, yuccahinge.StepGather, "the query crashed searchers and is refused for a while")
+	}
+	answer, duplicates, err := q.gather.Answer()
+	if err != nil {
+		e.record(yuccahinge.Event{Code: event.InvariantBroken, Request: q.request.RequestID, Service: q.request.Service, Detail: err.Error()})
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepGather, Message: "the answer broke an invariant", Err: err}
+	}
+	for _, id := range duplicates {
+		e.record(yuccahinge.Event{Code: event.DuplicateHit, Request: q.request.RequestID, Service: q.request.Service, Detail: string(id)})
+	}
+	return answer, nil
+}
+
+func (q *run) recordSend(a *gather.Action) {
+	if q.engine.Recorder == nil {
+		return
+	}
+	shard := a.Shard
+	q.engine.record(yuccahinge.Event{
+		Code:     sendCode(a.Cause),
+		Request:  q.request.RequestID,
+		Ticket:   q.state.Ticket,
+		Service:  q.request.Service,
+		Shard:    &shard,
+		Attempt:  a.Attempt,
+		Searcher: a.Searcher,
+	})
+}
+
+func sendCode(c gather.Cause) yuccahinge.EventCode {
+	switch c {
+	case gather.Hedge:
+		return event.AttemptHedged
+	case gather.Retry:
+		return event.AttemptRetried
+	default:
+		return event.AttemptSent
+	}
+}
+
+func (q *run) recordEnd(r ended) {
+	if q.engine.Recorder == nil {
+		return
+	}
+	code := event.AttemptEnded
+	if r.result.Reason == yuccahinge.ReasonInvalid {
+		code = event.ReplyInvalid
+	}
+	q.engine.record(yuccahinge.Event{
+		Code:     code,
+		Request:  q.request.RequestID,
+		Service:  q.request.Service,
+		Attempt:  r.attempt,
+		Searcher: r.searcher,
+		Detail:   string(r.result.Outcome) + " " + string(r.result.Reason),
+	})
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,168 @@
+// Package route provides the choice of a replica for an attempt, from what this host has seen of the searchers.
+package route
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Route chooses between two random replicas the one with the shorter expected wait. It implements
+// yuccahinge.Picker and yuccahinge.Observer. The zero value is ready to use; calls take no lock.
+type Route struct {
+	// Domain is this host's failure domain. Searchers elsewhere are charged CrossMs.
+	Domain yuccahinge.DomainID
+	// CrossMs is the expected cost of leaving the failure domain; zero takes 3 ms.
+	CrossMs yuccahinge.Millis
+	// Seed starts the random choices.
+	Seed uint64
+	// Draining reports whether a searcher is leaving; nil for none.
+	Draining func(yuccahinge.SearcherID) bool
+	// Holds reports whether a searcher is known to hold a version, and whether anything is known of it.
+	// Nil trusts every searcher.
+	Holds func(id yuccahinge.SearcherID, v yuccahinge.IndexVersion) (holds, known bool)
+
+	searchers sync.Map // of yuccahinge.SearcherID to *stat
+	draws     atomic.Uint64
+}
+
+// Pick returns a searcher of the shard that is not in tried, or false when none may be used.
+func (r *Route) Pick(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard, tried []yuccahinge.SearcherID) (yuccahinge.SearcherID, bool) {
+	var room [8]candidate
+	all := r.candidates(room[:0], now, ix, shard, tried)
+	if len(all) == 0 {
+		return "", false
+	}
+	return r.choose(healthy(all)), true
+}
+
+// Started counts an attempt in flight.
+func (r *Route) Started(now yuccahinge.Millis, id yuccahinge.SearcherID) { r.stat(id).started(now) }
+
+// Ended learns from an attempt that ended.
+func (r *Route) Ended(now yuccahinge.Millis, id yuccahinge.SearcherID, res *yuccahinge.ShardResult) {
+	r.stat(id).ended(now, res)
+}
+
+// Report takes a searcher's own word outside a reply.
+func (r *Route) Report(now yuccahinge.Millis, id yuccahinge.SearcherID, report *yuccahinge.LoadReport) {
+	r.stat(id).report(now, report)
+}
+
+// InFlight returns the attempts in flight at a searcher.
+func (r *Route) InFlight(id yuccahinge.SearcherID) int { return int(r.stat(id).inFlight.Load()) }
+
+// Ejected reports whether the searcher is kept out for its failures.
+func (r *Route) Ejected(now yuccahinge.Millis, id yuccahinge.SearcherID) bool {
+	return r.stat(id).ejected(now)
+}
+
+// candidate is a replica that may be used and its expected wait in milliseconds.
+type candidate struct {
+	id      yuccahinge.SearcherID
+	wait    float64
+	local   bool
+	ejected bool
+}
+
+func (r *Route) candidates(out []candidate, now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard, tried []yuccahinge.SearcherID) []candidate {
+	for _, id := range shard.Searchers {
+		s := ix.Searchers[id]
+		if s == nil || slices.Contains(tried, id) {
+			continue
+		}
+		st := r.stat(id)
+		if st.draining.Load() || (r.Draining != nil && r.Draining(id)) {
+			continue
+		}
+		if !r.holds(id, ix.Version) {
+			continue
+		}
+		c := candidate{id: id, wait: st.wait(now, s), local: s.Domain == r.Domain, ejected: st.ejected(now)}
+		if !c.local {
+			c.wait += float64(r.cross())
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// holds trusts a searcher of which nothing is known.
+func (r *Route) holds(id yuccahinge.SearcherID, v yuccahinge.IndexVersion) bool {
+	if r.Holds == nil {
+		return true
+	}
+	holds, known := r.Holds(id, v)
+	return holds || !known
+}
+
+// healthy drops the ejected candidates unless that would leave none: a wrong signal must not empty a shard.
+func healthy(all []candidate) []candidate {
+	if !slices.ContainsFunc(all, func(c candidate) bool { return !c.ejected }) {
+		return all
+	}
+	return slices.DeleteFunc(all, func(c candidate) bool { return c.ejected })
+}
+
+// choose takes the better of two random local candidates and of two random remote ones.
+func (r *Route) choose(all []candidate) yuccahinge.SearcherID {
+	if len(all) == 1 {
+		return all[0].id
+	}
+	local := 0
+	for i, c := range all {
+		if c.local {
+			all[i], all[local] = all[local], all[i]
+			local++
+		}
+	}
+	best, ok := r.better(all[:local])
+	if other, found := r.better(all[local:]); found && (!ok || other.wait < best.wait) {
+		best = other
+	}
+	return best.id
+}
+
+func (r *Route) better(from []candidate) (candidate, bool) {
+	switch len(from) {
+	case 0:
+		return candidate{}, false
+	case 1:
+		return from[0], true
+	}
+	i := int(r.draw() % uint64(len(from)))
+	j := int(r.draw() % uint64(len(from)-1))
+	if j >= i {
+		j++
+	}
+	if from[j].wait < from[i].wait {
+		i = j
+	}
+	return from[i], true
+}
+
+// draw returns the next number of a seeded sequence.
+func (r *Route) draw() uint64 {
+	const step = 0x9e3779b97f4a7c15
+	x := r.Seed + r.draws.Add(step)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func (r *Route) stat(id yuccahinge.SearcherID) *stat {
+	if v, ok := r.searchers.Load(id); ok {
+		return v.(*stat)
+	}
+	v, _ := r.searchers.LoadOrStore(id, new(stat))
+	return v.(*stat)
+}
+
+func (r *Route) cross() yuccahinge.Millis {
+	if r.CrossMs > 0 {
+		return r.CrossMs
+	}
+	return defaultCrossMs
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,138 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func index(n int) *yuccahinge.Index {
+	ix := &yuccahinge.Index{Version: 1, Searchers: map[yuccahinge.SearcherID]*yuccahinge.Searcher{}}
+	shard := yuccahinge.Shard{}
+	for i := range n {
+		id := yuccahinge.SearcherID(fmt.Sprint("s", i))
+		ix.Searchers[id] = &yuccahinge.Searcher{Slots: 2, Domain: "d"}
+		shard.Searchers = append(shard.Searchers, id)
+	}
+	ix.Shards = []yuccahinge.Shard{shard}
+	return ix
+}
+
+// run sends calls one after the other and returns how many went to each searcher.
+func run(r *Route, ix *yuccahinge.Index, now *yuccahinge.Millis, calls int, reply func(yuccahinge.SearcherID) yuccahinge.ShardResult) map[yuccahinge.SearcherID]int {
+	picks := map[yuccahinge.SearcherID]int{}
+	for range calls {
+		id, ok := r.Pick(*now, ix, &ix.Shards[0], nil)
+		if !ok {
+			continue
+		}
+		picks[id]++
+		res := reply(id)
+		r.Started(*now, id)
+		*now++
+		r.Ended(*now, id, &res)
+	}
+	return picks
+}
+
+func ran(took yuccahinge.Millis, load yuccahinge.LoadReport) yuccahinge.ShardResult {
+	return yuccahinge.ShardResult{Outcome: yuccahinge.Ran, Latency: took, Reply: &yuccahinge.ShardReply{Load: load}}
+}
+
+func TestPicksTheFaster(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	picks := run(r, index(2), &now, 1000, func(id yuccahinge.SearcherID) yuccahinge.ShardResult {
+		if id == "s0" {
+			return ran(50, yuccahinge.LoadReport{})
+		}
+		return ran(5, yuccahinge.LoadReport{})
+	})
+	if picks["s1"] < 900 {
+		t.Fatalf("picks are %v", picks)
+	}
+}
+
+func TestLyingReportLosesWeight(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	picks := run(r, index(2), &now, 2000, func(id yuccahinge.SearcherID) yuccahinge.ShardResult {
+		if id == "s0" {
+			return ran(40, yuccahinge.LoadReport{Incarnation: "i", Slots: 2})
+		}
+		return ran(5, yuccahinge.LoadReport{Incarnation: "i", Slots: 2, Running: 2, Queued: 40})
+	})
+	if picks["s1"] < 1400 {
+		t.Fatalf("the fast searcher that reports a long queue got %v", picks)
+	}
+}
+
+func TestSkipsDraining(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	ix := index(2)
+	res := ran(5, yuccahinge.LoadReport{Incarnation: "i", Draining: true})
+	r.Started(now, "s0")
+	r.Ended(now, "s0", &res)
+	picks := run(r, ix, &now, 50, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	if picks["s0"] != 0 {
+		t.Fatal("picked a draining searcher")
+	}
+	r.Report(now, "s0", &yuccahinge.LoadReport{Incarnation: "j"})
+	if r.stat("s0").draining.Load() {
+		t.Fatal("a new life is not draining")
+	}
+}
+
+func TestEjectionNeverEmptiesAShard(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	fail := yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonLost, Latency: 100}
+	picks := run(r, index(2), &now, 40, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return fail })
+	if picks["s0"]+picks["s1"] != 40 {
+		t.Fatalf("picks are %v", picks)
+	}
+	if !r.Ejected(now, "s0") || !r.Ejected(now, "s1") {
+		t.Fatal("failing searchers were not ejected")
+	}
+}
+
+func TestAvoidsTheSilent(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	ix := index(2)
+	run(r, ix, &now, 200, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	r.Started(now, "s0")
+	now += 100
+	picks := run(r, ix, &now, 100, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	if picks["s0"] > 0 {
+		t.Fatalf("picks are %v", picks)
+	}
+}
+
+func TestTakesOwnDomainFirst(t *testing.T) {
+	r := &Route{Domain: "e"}
+	now := yuccahinge.Millis(1)
+	ix := index(3)
+	ix.Searchers["s2"].Domain = "e"
+	picks := run(r, ix, &now, 300, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	if picks["s2"] < 280 {
+		t.Fatalf("picks are %v", picks)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{2, 19} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := &Route{Domain: "d"}
+			ix := index(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				id, _ := r.Pick(1, ix, &ix.Shards[0], nil)
+				r.Started(1, id)
+				r.Ended(1, id, &yuccahinge.ShardResult{Outcome: yuccahinge.Ran, Latency: 5})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/route/stat.go
@@ -0,0 +1,227 @@
+package route
+
+import (
+	"math"
+	"sync/atomic"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+const (
+	defaultCrossMs yuccahinge.Millis = 3
+	// firstGuessMs is the latency assumed of a searcher that has not replied yet.
+	firstGuessMs = 2.0
+	// weight is the weight of a new sample in the latency estimate.
+	weight = 0.1
+	// clip bounds a sample to a multiple of the estimate, so that one straggler does not empty a searcher.
+	clip = 4.0
+	// coldMs is the time over which a started searcher ramps up.
+	coldMs = 5 * yuccahinge.Second
+	// coldCost is how many times the expected wait of a searcher counts when it has just started.
+	coldCost = 4.0
+	// hintHalfMs is the age at which a load report has lost half its weight.
+	hintHalfMs = 100.0
+	// trustStep is the weight of a new comparison of a load report with the latency measured.
+	trustStep = 0.2
+	// contradiction is the ratio of measured to predicted latency from which a report is not believed.
+	contradiction = 2.0
+	// failuresToEject is the number of failures in a row that eject a searcher.
+	failuresToEject = 3
+	// ejectMs is the first ejection's length; it doubles up to maxEjectMs.
+	ejectMs    = 1 * yuccahinge.Second
+	maxEjectMs = 16 * yuccahinge.Second
+	// silentFactor is the multiple of the expected latency after which silence counts as latency.
+	silentFactor = 3.0
+	// recoverMs is the time in which a bad estimate of an unused searcher halves, so that it is tried again.
+	recoverMs = 2000.0
+)
+
+// stat is what this host knows of one searcher. Fields are atomics that may be read while others change;
+// an estimate made from a mixture is off by one sample at most.
+type stat struct {
+	inFlight atomic.Int64
+	draining atomic.Bool
+	life     atomic.Pointer[yuccahinge.Incarnation]
+
+	latency number // estimate of the time of a call in milliseconds
+	base    number // lowest estimate, the time of a call without a queue
+	updated number // instant of the last sample
+	heard   number // instant of the last end, or of the start after a rest
+	coldAt  number // instant at which the searcher was first seen in this life
+
+	hintAt    number // instant of the last load report
+	hintQueue number // work of others that the report shows, in calls
+	distrust  number // how little reports are believed, 0 to 1
+
+	failures   atomic.Int64
+	ejections  atomic.Int64
+	ejectUntil number
+}
+
+func (s *stat) started(now yuccahinge.Millis) {
+	if s.inFlight.Add(1) == 1 {
+		s.heard.store(float64(now))
+	}
+	if s.coldAt.load() == 0 {
+		s.coldAt.store(float64(now))
+	}
+}
+
+func (s *stat) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+	s.inFlight.Add(-1)
+	switch {
+	case r.Outcome == yuccahinge.Ran:
+		s.heard.store(float64(now))
+		s.succeed(now, float64(r.Latency))
+	case r.Reason == yuccahinge.ReasonCanceled:
+		s.atLeast(now, float64(r.Latency))
+	case r.Outcome == yuccahinge.NotRun && r.Reply != nil:
+		s.heard.store(float64(now))
+	default:
+		s.heard.store(float64(now))
+		s.fail(now, r)
+	}
+	if r.Reply != nil {
+		s.report(now, &r.Reply.Load)
+	}
+}
+
+func (s *stat) succeed(now yuccahinge.Millis, took float64) {
+	s.failures.Store(0)
+	s.ejections.Store(0)
+	s.ejectUntil.store(0)
+	old := s.latency.load()
+	if old == 0 {
+		s.sample(now, took)
+		return
+	}
+	s.judge(now, took)
+	s.sample(now, old+weight*(min(took, old*clip)-old))
+}
+
+// atLeast learns from a call that was given up before it ended.
+func (s *stat) atLeast(now yuccahinge.Millis, took float64) {
+	old := s.latency.load()
+	if old > 0 && took > old {
+		s.sample(now, old+weight*(min(took, old*clip)-old))
+	}
+}
+
+func (s *stat) sample(now yuccahinge.Millis, estimate float64) {
+	s.latency.store(estimate)
+	s.updated.store(float64(now))
+	if b := s.base.load(); b == 0 || estimate < b {
+		s.base.store(estimate)
+	} else {
+		s.base.store(b * 1.0002)
+	}
+}
+
+// fail counts a failure and ejects the searcher when too many came in a row.
+func (s *stat) fail(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+	if r.Reason == yuccahinge.ReasonTimeout && float64(r.Latency) < silentFactor*s.expected() {
+		return // the deadline was too short to tell anything of the searcher
+	}
+	if s.failures.Add(1) < failuresToEject && r.Reason != yuccahinge.ReasonUnreachable {
+		return
+	}
+	if s.ejected(now) {
+		return
+	}
+	n := s.ejections.Add(1)
+	span := min(ejectMs*yuccahinge.Millis(math.Exp2(float64(n-1))), maxEjectMs)
+	s.ejectUntil.store(float64(now + span))
+	s.coldAt.store(float64(now + span))
+}
+
+func (s *stat) ejected(now yuccahinge.Millis) bool { return float64(now) < s.ejectUntil.load() }
+
+// report takes a load report as a hint. A new incarnation is cold and not draining.
+func (s *stat) report(now yuccahinge.Millis, l *yuccahinge.LoadReport) {
+	if l.Incarnation == "" {
+		return
+	}
+	if old := s.life.Load(); old == nil || *old != l.Incarnation {
+		if old != nil {
+			s.coldAt.store(float64(now))
+			s.draining.Store(false)
+		}
+		life := l.Incarnation
+		s.life.Store(&life)
+	}
+	if l.Draining {
+		s.draining.Store(true)
+	}
+	others := float64(l.Running+l.Queued) - float64(s.inFlight.Load())
+	s.hintQueue.store(max(0, others))
+	s.hintAt.store(float64(now))
+}
+
+// judge compares the last report's prediction with the latency measured and moves the trust in reports.
+func (s *stat) judge(now yuccahinge.Millis, took float64) {
+	base := s.base.load()
+	if base == 0 || s.hint(now) == 0 && took < base*contradiction {
+		return
+	}
+	predicted := base * (1 + s.hintQueue.load()/2)
+	ratio := took / predicted
+	doubt := s.distrust.load()
+	verdict := 0.0
+	if ratio > contradiction || ratio < 1/contradiction {
+		verdict = 1
+	}
+	s.distrust.store(doubt + trustStep*(verdict-doubt))
+}
+
+// hint returns the calls of other hosts in the searcher's queue, as far as a report is fresh and believed.
+func (s *stat) hint(now yuccahinge.Millis) float64 {
+	at := s.hintAt.load()
+	if at == 0 {
+		return 0
+	}
+	age := max(0, float64(now)-at)
+	return s.hintQueue.load() * math.Exp2(-age/hintHalfMs) * (1 - s.distrust.load())
+}
+
+func (s *stat) expected() float64 {
+	if l := s.latency.load(); l > 0 {
+		return l
+	}
+	return firstGuessMs
+}
+
+// wait returns the expected time of one more call in milliseconds.
+func (s *stat) wait(now yuccahinge.Millis, to *yuccahinge.Searcher) float64 {
+	slots := float64(max(to.Slots, 1))
+	inFlight := float64(s.inFlight.Load())
+	queue := (inFlight + s.hint(now)) / slots
+	return s.estimate(now, inFlight) * (1 + queue) * s.cold(now)
+}
+
+// estimate returns the latency estimate, raised by silence and lowered by rest.
+func (s *stat) estimate(now yuccahinge.Millis, inFlight float64) float64 {
+	estimate := s.expected()
+	if inFlight > 0 {
+		silence := float64(now) - s.heard.load()
+		if silence > silentFactor*estimate {
+			return silence
+		}
+		return estimate
+	}
+	base := s.base.load()
+	if base == 0 || estimate <= base {
+		return estimate
+	}
+	rest := max(0, float64(now)-s.updated.load())
+	return base + (estimate-base)*math.Exp2(-rest/recoverMs)
+}
+
+// cold returns the factor by which a searcher that started lately looks slower than it is.
+func (s *stat) cold(now yuccahinge.Millis) float64 {
+	at := s.coldAt.load()
+	age := float64(now) - at
+	if at == 0 || age < 0 || age >= float64(coldMs) {
+		return 1
+	}
+	return 1 + (coldCost-1)*(1-age/float64(coldMs))
+}
--- /dev/null
+++ b/search/client_test.go
@@ -0,0 +1,203 @@
+package search
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// serve starts a searcher over both protocols and counts the connections that it accepts.
+func serve(t *testing.T, h http.HandlerFunc) (*yuccahinge.Searcher, *atomic.Int64) {
+	t.Helper()
+	var conns atomic.Int64
+	srv := httptest.NewUnstartedServer(h)
+	srv.Config.Protocols = new(http.Protocols)
+	srv.Config.Protocols.SetHTTP1(true)
+	srv.Config.Protocols.SetUnencryptedHTTP2(true)
+	srv.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	return &yuccahinge.Searcher{Addr: srv.Listener.Addr().String(), Connections: 3}, &conns
+}
+
+func request() *yuccahinge.ShardRequest {
+	return &yuccahinge.ShardRequest{RequestID: "r", Attempt: 2, Service: "trainer", Shard: 7, IndexVersion: 3, Query: json.RawMessage(`"broth"`), DeadlineMs: 100}
+}
+
+func replyTo(r *http.Request) yuccahinge.ShardReply {
+	var q yuccahinge.ShardRequest
+	_ = json.NewDecoder(r.Body).Decode(&q)
+	return yuccahinge.ShardReply{RequestID: q.RequestID, Attempt: q.Attempt, Shard: q.Shard, IndexVersion: q.IndexVersion, Outcome: yuccahinge.Ran}
+}
+
+func write(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func TestQueryOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handler http.HandlerFunc
+		outcome yuccahinge.Outcome
+		reason  yuccahinge.Reason
+	}{
+		{"ran", func(w http.ResponseWriter, r *http.Request) { write(w, 200, replyTo(r)) }, yuccahinge.Ran, ""},
+		{"refused with proof", func(w http.ResponseWriter, r *http.Request) {
+			reply := replyTo(r)
+			reply.Outcome, reply.Reason = yuccahinge.NotRun, yuccahinge.ReasonShed
+			write(w, 503, reply)
+		}, yuccahinge.NotRun, yuccahinge.ReasonShed},
+		{"refused without proof", func(w http.ResponseWriter, _ *http.Request) { write(w, 503, "busy") }, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"refusal of another request", func(w http.ResponseWriter, r *http.Request) {
+			reply := replyTo(r)
+			reply.Outcome, reply.Attempt = yuccahinge.NotRun, 1
+			write(w, 503, reply)
+		}, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"other version", func(w http.ResponseWriter, r *http.Request) {
+			reply := replyTo(r)
+			reply.IndexVersion++
+			write(w, 200, reply)
+		}, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"other shard", func(w http.ResponseWriter, r *http.Request) {
+			reply := replyTo(r)
+			reply.Shard++
+			write(w, 200, reply)
+		}, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"ran with an error status", func(w http.ResponseWriter, r *http.Request) { write(w, 500, replyTo(r)) }, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"truncated", func(w http.ResponseWriter, r *http.Request) {
+			_ = replyTo(r)
+			w.Header().Set("Content-Length", "1000")
+			_, _ = io.WriteString(w, `{"requestId":"r"`)
+		}, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"huge", func(w http.ResponseWriter, r *http.Request) {
+			_ = replyTo(r)
+			chunk := make([]byte, 1<<20)
+			for range 100 {
+				if _, err := w.Write(chunk); err != nil {
+					return
+				}
+			}
+		}, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"crash", func(_ http.ResponseWriter, r *http.Request) {
+			_ = replyTo(r)
+			panic(http.ErrAbortHandler)
+		}, yuccahinge.Unknown, yuccahinge.ReasonLost},
+		{"silent", func(_ http.ResponseWriter, r *http.Request) {
+			_ = replyTo(r)
+			<-r.Context().Done()
+		}, yuccahinge.Unknown, yuccahinge.ReasonTimeout},
+	} {
+		for _, protocol := range []yuccahinge.Protocol{yuccahinge.HTTP1, yuccahinge.H2C} {
+			t.Run(fmt.Sprint(c.name, " ", protocol), func(t *testing.T) {
+				s, _ := serve(t, c.handler)
+				s.Protocol = protocol
+				client := &Client{}
+				defer client.Close()
+				limit := 5 * time.Second
+				if c.reason == yuccahinge.ReasonTimeout {
+					limit = 50 * time.Millisecond
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				defer cancel()
+				res := client.Query(ctx, "s", s, request())
+				if res.Outcome != c.outcome || res.Reason != c.reason {
+					t.Fatalf("%s %s (%v), want %s %s", res.Outcome, res.Reason, res.Err, c.outcome, c.reason)
+				}
+			})
+		}
+	}
+}
+
+func TestNobodyListensIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	res := (&Client{}).Query(t.Context(), "s", &yuccahinge.Searcher{Addr: addr}, request())
+	if res.Outcome != yuccahinge.NotRun || res.Reason != yuccahinge.ReasonUnreachable {
+		t.Fatalf("%s %s", res.Outcome, res.Reason)
+	}
+}
+
+func TestConnectionsStayUnderTheLimit(t *testing.T) {
+	for _, protocol := range []yuccahinge.Protocol{yuccahinge.HTTP1, yuccahinge.H2C} {
+		t.Run(string(protocol), func(t *testing.T) {
+			s, conns := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				time.Sleep(time.Millisecond)
+				write(w, 200, replyTo(r))
+			})
+			s.Protocol = protocol
+			client := &Client{}
+			defer client.Close()
+			var wg sync.WaitGroup
+			for range 20 {
+				wg.Go(func() {
+					for range 10 {
+						if res := client.Query(t.Context(), "s", s, request()); res.Outcome != yuccahinge.Ran {
+							t.Errorf("%s %s %v", res.Outcome, res.Reason, res.Err)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			if n := conns.Load(); n > 3 {
+				t.Fatalf("%d connections were opened", n)
+			}
+		})
+	}
+}
+
+func TestFullQueueIsNotRun(t *testing.T) {
+	s, _ := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		reply := replyTo(r)
+		<-r.Context().Done()
+		write(w, 200, reply)
+	})
+	client := &Client{Queue: 1}
+	defer client.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	results := make(chan yuccahinge.ShardResult, 20)
+	for range 20 {
+		go func() { results <- client.Query(ctx, "s", s, request()) }()
+	}
+	for range 14 {
+		if res := <-results; res.Outcome != yuccahinge.NotRun || res.Reason != yuccahinge.ReasonShed {
+			t.Fatalf("%s %s", res.Outcome, res.Reason)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	good, _ := json.Marshal(yuccahinge.ShardReply{RequestID: "r", Attempt: 2, Shard: 7, IndexVersion: 3, Outcome: yuccahinge.Ran})
+	f.Add(good, 200)
+	f.Add([]byte(`{"requestId":"r","attempt":2,"shard":7,"indexVersion":3,"outcome":"notRun","reason":"shed"}`), 503)
+	f.Add([]byte(`{"requestId":"r","attempt":-1}`), 200)
+	f.Add([]byte(`[]`), 200)
+	f.Fuzz(func(t *testing.T, data []byte, status int) {
+		res := decode(data, status, "s", request())
+		if res.Outcome != yuccahinge.Unknown && (res.Reply == nil || !echoes(res.Reply, request())) {
+			t.Fatalf("%s without an echo", res.Outcome)
+		}
+		if res.Outcome == yuccahinge.Ran && status != 200 {
+			t.Fatalf("ran with status %d", status)
+		}
+	})
+}
