Add calls between entry hosts over drpc

Packages frame (envelopes in CBOR), peer (server) and pool (caller).

Cause: a drpc connection carries one call at a time and dies with a call that its context cuts off. So connections are pooled for each address, a cut one is dropped, and deadlines travel in the envelope. Ruled out: one connection for each peer (calls would wait in line), and drpcpool, which sets no bound on the connections to one address.

--- /dev/null
+++ b/frame/call.go
@@ -0,0 +1,19 @@
+package frame
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Call is the envelope of a call.
+type Call struct {
+	Cluster     string                 `json:"c"`
+	Host        yuccahinge.HostID      `json:"h"`
+	Incarnation yuccahinge.Incarnation `json:"i"`
+	Stamp       yuccahinge.Stamp       `json:"s"`
+	Method      yuccahinge.PeerMethod  `json:"m"`
+	// DeadlineMs is the time left to the caller when it sent the call; zero for no deadline.
+	DeadlineMs yuccahinge.Millis `json:"d,omitempty"`
+	Body       cbor.RawMessage   `json:"b,omitempty"`
+}
--- /dev/null
+++ b/frame/fault.go
@@ -0,0 +1,38 @@
+package frame
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Fault is an error on its way to the caller.
+type Fault struct {
+	Code    yuccahinge.Code `json:"c"`
+	Step    yuccahinge.Step `json:"s"`
+	Peer    string          `json:"p,omitempty"`
+	Message string          `json:"m"`
+}
+
+// FaultOf returns the fault that stands for err.
+func FaultOf(err error) *Fault {
+	var e *yuccahinge.Error
+	if errors.As(err, &e) {
+		return &Fault{Code: e.Code, Step: e.Step, Peer: e.Peer, Message: e.Message}
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return &Fault{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepPeer, Message: err.Error()}
+	}
+	return &Fault{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepPeer, Message: err.Error()}
+}
+
+// Err returns the error that the fault stands for. A fault that names no peer arose at from.
+func (f *Fault) Err(from string) error {
+	peer := f.Peer
+	if peer == "" {
+		peer = from
+	}
+	return &yuccahinge.Error{Code: f.Code, Step: f.Step, Peer: peer, Message: f.Message}
+}
--- /dev/null
+++ b/frame/reply.go
@@ -0,0 +1,16 @@
+package frame
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Reply is the envelope of a reply: a body or a fault.
+type Reply struct {
+	Host        yuccahinge.HostID      `json:"h"`
+	Incarnation yuccahinge.Incarnation `json:"i"`
+	Stamp       yuccahinge.Stamp       `json:"s"`
+	Fault       *Fault                 `json:"f,omitempty"`
+	Body        cbor.RawMessage        `json:"b,omitempty"`
+}
--- /dev/null
+++ b/peer/peer.go
@@ -0,0 +1,13 @@
+// Package peer serves calls from other entry hosts over drpc.
+package peer
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge/frame"
+)
+
+// NeverSent reports whether err proves that the peer did not receive the call.
+func NeverSent(err error) bool {
+	return errors.Is(err, frame.ErrNeverSent)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,230 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/frame"
+	"github.com/yuccahinge/yuccahinge/hybrid"
+)
+
+// Bounds of connections.
+const (
+	// preambleTimeout bounds the wait for a connection's first bytes.
+	preambleTimeout = 2 * time.Second
+	// idleTimeout closes a connection without calls. It is above the idle bound of package pool.
+	idleTimeout = 90 * time.Second
+	// acceptPause is the wait after a failed accept, such as for want of file descriptors.
+	acceptPause = 50 * time.Millisecond
+	// DefaultMaxConnections bounds open connections when MaxConnections is zero.
+	DefaultMaxConnections = 8192
+)
+
+// Server answers calls of other entry hosts of the same cluster. The zero value serves the cluster with
+// the empty name; set its fields before Serve.
+type Server struct {
+	Cluster  string
+	Self     yuccahinge.Member
+	Clock    yuccahinge.Clock
+	Stamps   *hybrid.Clock
+	Recorder yuccahinge.Recorder
+	// MaxConnections bounds open connections; more are closed at once.
+	MaxConnections int
+
+	mu       sync.RWMutex
+	handlers map[yuccahinge.PeerMethod]yuccahinge.PeerHandler
+}
+
+// Handle registers the handler of a method, in place of an earlier one.
+func (s *Server) Handle(method yuccahinge.PeerMethod, h yuccahinge.PeerHandler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.handlers == nil {
+		s.handlers = make(map[yuccahinge.PeerMethod]yuccahinge.PeerHandler)
+	}
+	s.handlers[method] = h
+}
+
+// Serve answers the connections of l until ctx ends, then closes them and l and returns nil.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	s.fill()
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	defer stop()
+	g.Go(func() error { return s.accept(ctx, g, l) })
+	return g.Wait()
+}
+
+// fill gives fields that were left empty a value that works.
+func (s *Server) fill() {
+	if s.Clock == nil {
+		s.Clock = clock.Clock{}
+	}
+	if s.Stamps == nil {
+		s.Stamps = new(hybrid.Clock)
+	}
+	if s.MaxConnections == 0 {
+		s.MaxConnections = DefaultMaxConnections
+	}
+}
+
+func (s *Server) accept(ctx context.Context, g *errgroup.Group, l net.Listener) error {
+	open := make(chan struct{}, s.MaxConnections)
+	server := drpcserver.NewWithOptions(s, drpcserver.Options{Manager: drpcmanager.Options{
+		Reader:            drpcwire.ReaderOptions{MaximumBufferSize: frame.MaxMessageBytes},
+		InactivityTimeout: idleTimeout,
+	}})
+	for {
+		conn, err := l.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			pause(ctx, acceptPause)
+			continue
+		}
+		select {
+		case open <- struct{}{}:
+		default:
+			s.refuse(conn.RemoteAddr().String(), "too many connections")
+			_ = conn.Close()
+			continue
+		}
+		g.Go(func() error {
+			defer func() { <-open }()
+			s.serveConn(ctx, server, conn)
+			return nil
+		})
+	}
+}
+
+// serveConn answers one connection until it ends. Its errors concern nobody else.
+func (s *Server) serveConn(ctx context.Context, server *drpcserver.Server, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer conn.Close()
+	if err := readPreamble(conn); err != nil {
+		s.refuse(conn.RemoteAddr().String(), err.Error())
+		return
+	}
+	err := server.ServeOne(ctx, conn)
+	if drpc.ProtocolError.Has(err) {
+		s.refuse(conn.RemoteAddr().String(), err.Error())
+	}
+}
+
+func readPreamble(conn net.Conn) error {
+	if err := conn.SetReadDeadline(time.Now().Add(preambleTimeout)); err != nil {
+		return err
+	}
+	buf := make([]byte, len(frame.Preamble))
+	if _, err := io.ReadFull(conn, buf); err != nil {
+		return errors.Wrap(err, "no preamble")
+	}
+	if string(buf) != frame.Preamble {
+		return errors.Newf("foreign preamble %q", buf)
+	}
+	return conn.SetReadDeadline(time.Time{})
+}
+
+// HandleRPC implements drpc.Handler for one call.
+func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	if rpc != frame.RPC {
+		return drpc.ProtocolError.New("unknown procedure %q", rpc)
+	}
+	var call frame.Call
+	if err := stream.MsgRecv(&call, frame.Encoding{}); err != nil {
+		s.refuse("", err.Error())
+		return err
+	}
+	reply := s.answer(stream.Context(), &call)
+	err := stream.MsgSend(reply, frame.Encoding{})
+	if !errors.Is(err, frame.ErrTooLarge) {
+		return err
+	}
+	too := yuccahinge.Error{Code: yuccahinge.CodeTooLarge, Step: yuccahinge.StepPeer, Message: err.Error()}
+	return stream.MsgSend(s.reply(nil, &too), frame.Encoding{})
+}
+
+func (s *Server) answer(ctx context.Context, call *frame.Call) *frame.Reply {
+	if call.Cluster != s.Cluster {
+		s.refuse(string(call.Host), fmt.Sprintf("cluster %q", call.Cluster))
+		return s.reply(nil, s.fault(yuccahinge.CodeConflict, "this host is of another cluster"))
+	}
+	s.Stamps.Observe(call.Stamp)
+	s.mu.RLock()
+	h := s.handlers[call.Method]
+	s.mu.RUnlock()
+	if h == nil {
+		return s.reply(nil, s.fault(yuccahinge.CodeNotFound, fmt.Sprintf("no method %q", call.Method)))
+	}
+	if call.DeadlineMs > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, call.DeadlineMs.Duration())
+		defer cancel()
+	}
+	body, err := h(ctx, func(v any) error { return s.decode(call.Body, v) })
+	return s.reply(body, err)
+}
+
+func (s *Server) decode(body []byte, v any) error {
+	if err := (frame.Encoding{}).Unmarshal(body, v); err != nil {
+		return &yuccahinge.Error{Code: yuccahinge.CodeInvalid, Step: yuccahinge.StepDecode, Message: "malformed body", Err: err}
+	}
+	return nil
+}
+
+func (s *Server) reply(body any, err error) *frame.Reply {
+	r := &frame.Reply{
+		Host:        yuccahinge.HostID(s.Self.ID),
+		Incarnation: s.Self.Incarnation,
+		Stamp:       s.Stamps.Next(s.Clock.Now()),
+	}
+	if err == nil && body != nil {
+		r.Body, err = frame.Encoding{}.Marshal(body)
+	}
+	if errors.Is(err, frame.ErrTooLarge) {
+		err = s.fault(yuccahinge.CodeTooLarge, err.Error())
+	}
+	if err != nil {
+		r.Fault = frame.FaultOf(err)
+	}
+	return r
+}
+
+func (s *Server) fault(code yuccahinge.Code, message string) error {
+	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepPeer, Message: message}
+}
+
+func (s *Server) refuse(peer, why string) {
+	if s.Recorder == nil {
+		return
+	}
+	s.Recorder.Record(yuccahinge.Event{Code: event.PeerRefused, Peer: peer, Detail: why})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/pool/pool.go
@@ -0,0 +1,157 @@
+// Package pool calls other entry hosts over pooled drpc connections.
+package pool
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/frame"
+	"github.com/yuccahinge/yuccahinge/hybrid"
+)
+
+// Defaults of the fields that are zero.
+const (
+	DefaultMaxPerAddr                     = 16
+	DefaultIdleMs       yuccahinge.Millis = 30_000
+	DefaultDialMs       yuccahinge.Millis = 1000
+	DefaultTimeoutMs    yuccahinge.Millis = 10_000
+	maxIdleConnsPerAddr                   = 4
+)
+
+// Pool calls peers. A connection carries one call at a time; a call cut off by its context takes its
+// connection with it. The zero value is ready to use; set its fields before the first call.
+type Pool struct {
+	Cluster string
+	Self    yuccahinge.Member
+	Clock   yuccahinge.Clock
+	Stamps  *hybrid.Clock
+	// MaxPerAddr bounds the connections to one address; further calls wait for one.
+	MaxPerAddr int
+	// IdleMs is how long a connection is kept without a call.
+	IdleMs yuccahinge.Millis
+	// DialMs bounds the setup of a connection.
+	DialMs yuccahinge.Millis
+	// TimeoutMs bounds calls whose context has no deadline.
+	TimeoutMs yuccahinge.Millis
+
+	once  sync.Once
+	lines sync.Map // address to *line
+}
+
+var _ yuccahinge.PeerCaller = (*Pool)(nil)
+
+// Call implements yuccahinge.PeerCaller.
+func (p *Pool) Call(ctx context.Context, addr string, method yuccahinge.PeerMethod, in, out any) error {
+	p.once.Do(p.fill)
+	ctx, cancel := context.WithTimeout(ctx, p.timeout(ctx))
+	defer cancel()
+	body, err := frame.Encoding{}.Marshal(in)
+	if err != nil {
+		return p.neverSent(addr, yuccahinge.CodeInvalid, err)
+	}
+	l := p.line(addr)
+	conn, err := l.take(ctx)
+	if err != nil {
+		return p.neverSent(addr, yuccahinge.CodeUnavailable, err)
+	}
+	reply, err := p.invoke(ctx, conn, method, body)
+	l.put(conn, err == nil)
+	if err != nil {
+		return failure(ctx, addr, err)
+	}
+	return p.result(addr, reply, out)
+}
+
+// Close closes the idle connections. Calls under way finish and close theirs.
+func (p *Pool) Close() {
+	p.lines.Range(func(_, v any) bool {
+		v.(*line).close()
+		return true
+	})
+}
+
+func (p *Pool) fill() {
+	if p.Clock == nil {
+		p.Clock = clock.Clock{}
+	}
+	if p.Stamps == nil {
+		p.Stamps = new(hybrid.Clock)
+	}
+	if p.MaxPerAddr == 0 {
+		p.MaxPerAddr = DefaultMaxPerAddr
+	}
+	if p.IdleMs == 0 {
+		p.IdleMs = DefaultIdleMs
+	}
+	if p.DialMs == 0 {
+		p.DialMs = DefaultDialMs
+	}
+	if p.TimeoutMs == 0 {
+		p.TimeoutMs = DefaultTimeoutMs
+	}
+}
+
+func (p *Pool) line(addr string) *line {
+	if v, ok := p.lines.Load(addr); ok {
+		return v.(*line)
+	}
+	fresh := &line{addr: addr, dialMs: p.DialMs, idleMs: p.IdleMs, slots: make(chan struct{}, p.MaxPerAddr)}
+	v, _ := p.lines.LoadOrStore(addr, fresh)
+	return v.(*line)
+}
+
+func (p *Pool) invoke(ctx context.Context, conn *drpcconn.Conn, method yuccahinge.PeerMethod, body []byte) (*frame.Reply, error) {
+	call := &frame.Call{
+		Cluster:     p.Cluster,
+		Host:        yuccahinge.HostID(p.Self.ID),
+		Incarnation: p.Self.Incarnation,
+		Stamp:       p.Stamps.Next(p.Clock.Now()),
+		Method:      method,
+		DeadlineMs:  remaining(ctx),
+		Body:        body,
+	}
+	reply := new(frame.Reply)
+	if err := conn.Invoke(ctx, frame.RPC, frame.Encoding{}, call, reply); err != nil {
+		return nil, err
+	}
+	p.Stamps.Observe(reply.Stamp)
+	return reply, nil
+}
+
+func (p *Pool) result(addr string, reply *frame.Reply, out any) error {
+	if reply.Fault != nil {
+		return reply.Fault.Err(addr)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := (frame.Encoding{}).Unmarshal(reply.Body, out); err != nil {
+		return &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepPeer, Peer: addr, Message: "malformed reply", Err: err}
+	}
+	return nil
+}
+
+func (p *Pool) neverSent(addr string, code yuccahinge.Code, err error) error {
+	return &yuccahinge.Error{
+		Code:    code,
+		Step:    yuccahinge.StepPeer,
+		Peer:    addr,
+		Message: "call not sent",
+		Err:     errors.Mark(err, frame.ErrNeverSent),
+	}
+}
+
+// failure wraps the error of a call that the peer may have received.
+func failure(ctx context.Context, addr string, err error) error {
+	code := yuccahinge.CodeUnavailable
+	if ctx.Err() != nil {
+		code = yuccahinge.CodeDeadline
+		err = errors.CombineErrors(ctx.Err(), err)
+	}
+	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepPeer, Peer: addr, Message: "call failed", Err: err}
+}
