Add config: settings checked against a schema

One schema gives bounds, defaults and the reference page docs/SETTINGS.md; tests fail when the struct, the schema or the page disagree.

--- /dev/null
+++ b/config/drain.go
@@ -0,0 +1,9 @@
+package config
+
+import "github.com/yuccahinge/yuccahinge"
+
+// Drain sets the graceful shutdown.
+type Drain struct {
+	GraceMs    yuccahinge.Millis `json:"graceMs"`
+	DeadlineMs yuccahinge.Millis `json:"deadlineMs"`
+}
--- /dev/null
+++ b/config/log.go
@@ -0,0 +1,6 @@
+package config
+
+// Log sets the logging.
+type Log struct {
+	Verbosity int `json:"verbosity"`
+}
--- /dev/null
+++ b/config/page_test.go
@@ -0,0 +1,94 @@
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/sebdah/goldie/v2"
+)
+
+const pageHead = `# Settings of yuccahinge serve
+
+A JSON file, checked against config/schema.json before anything starts. An unknown field, a wrong unit or
+a bad address ends the program with exit code 2 and an error that names the field and its value. Durations
+are numbers of milliseconds and their names end in Ms. ` + "`yuccahinge settings check FILE`" + ` checks a file only.
+
+This page is made from the schema: ` + "`go test ./config -run TestPage -update`" + `.
+
+| field | type | default | meaning |
+|---|---|---|---|
+`
+
+// TestPage fails when the settings reference and the schema disagree.
+func TestPage(t *testing.T) {
+	var page strings.Builder
+	page.WriteString(pageHead)
+	rows(&page, "", schema())
+	g := goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md"))
+	g.Assert(t, "SETTINGS", []byte(page.String()))
+}
+
+func rows(page *strings.Builder, prefix string, s *jsonschema.Schema) {
+	for _, name := range slices.Sorted(maps.Keys(s.Properties)) {
+		p := s.Properties[name]
+		fmt.Fprintf(page, "| `%s%s` | %s | %s | %s |\n", prefix, name, kindOf(p), defaultOf(s, name), p.Description)
+		rows(page, prefix+name+".", p)
+	}
+}
+
+func kindOf(p *jsonschema.Schema) string {
+	kind := strings.Trim(p.Types.String(), "[]")
+	if p.Format != nil {
+		kind = p.Format.Name
+	}
+	if p.Items2020 != nil {
+		return "list of " + kindOf(p.Items2020)
+	}
+	return kind + bounds(p)
+}
+
+func bounds(p *jsonschema.Schema) string {
+	low, high := p.Minimum, p.Maximum
+	switch {
+	case p.ExclusiveMinimum != nil && high != nil:
+		return fmt.Sprintf(", above %s, to %s", p.ExclusiveMinimum.RatString(), high.RatString())
+	case low != nil && high != nil:
+		return fmt.Sprintf(", %s to %s", low.RatString(), high.RatString())
+	}
+	return ""
+}
+
+func defaultOf(parent *jsonschema.Schema, name string) string {
+	if slices.Contains(parent.Required, name) {
+		return "required"
+	}
+	data, err := json.Marshal(parent.Properties[name].Default)
+	if err != nil {
+		return ""
+	}
+	return "`" + string(data) + "`"
+}
+
+// agree compares the JSON fields of a struct with the properties of an object, in depth.
+func agree(t *testing.T, path string, st reflect.Type, properties map[string]*jsonschema.Schema) {
+	t.Helper()
+	var fields []string
+	for i := range st.NumField() {
+		name := st.Field(i).Tag.Get("json")
+		fields = append(fields, name)
+		p := properties[name]
+		if p != nil && st.Field(i).Type.Kind() == reflect.Struct {
+			agree(t, path+"."+name, st.Field(i).Type, p.Properties)
+		}
+	}
+	slices.Sort(fields)
+	if known := slices.Sorted(maps.Keys(properties)); !slices.Equal(fields, known) {
+		t.Errorf("%s: the struct has %v, the schema %v", path, fields, known)
+	}
+}
--- /dev/null
+++ b/config/schema.go
@@ -0,0 +1,89 @@
+package config
+
+import (
+	"bytes"
+	_ "embed"
+	"maps"
+	"net/netip"
+	"net/url"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+//go:embed schema.json
+var schemaJSON []byte
+
+// schema returns the compiled schema. The file is part of the program, so that an error in it is a bug.
+var schema = sync.OnceValue(func() *jsonschema.Schema {
+	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(schemaJSON))
+	if err != nil {
+		panic(err)
+	}
+	c := jsonschema.NewCompiler()
+	c.AssertFormat()
+	c.RegisterFormat(&jsonschema.Format{Name: "address", Validate: checkAddress})
+	c.RegisterFormat(&jsonschema.Format{Name: "baseURL", Validate: checkBaseURL})
+	if err := c.AddResource("settings.json", doc); err != nil {
+		panic(err)
+	}
+	return c.MustCompile("settings.json")
+})
+
+// fillDefaults adds the schema's defaults to the objects of doc.
+func fillDefaults(s *jsonschema.Schema, doc any) {
+	object, ok := doc.(map[string]any)
+	if !ok {
+		return
+	}
+	for name, property := range s.Properties {
+		_, present := object[name]
+		if !present && property.Default != nil {
+			object[name] = clone(*property.Default)
+		}
+		fillDefaults(property, object[name])
+	}
+}
+
+// clone keeps the defaults of the schema apart from the settings that are filled with them.
+func clone(v any) any {
+	switch v := v.(type) {
+	case map[string]any:
+		return maps.Clone(v)
+	case []any:
+		return slices.Clone(v)
+	default:
+		return v
+	}
+}
+
+func checkAddress(v any) error {
+	text, ok := v.(string)
+	if !ok {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(text)
+	switch {
+	case err != nil:
+		return errors.New("want an IP number and a port, as 10.0.0.7:8080")
+	case a.Port() == 0:
+		return errors.New("want a port above 0")
+	case a.Addr().IsUnspecified():
+		return errors.New("want an IP number that others can reach")
+	}
+	return nil
+}
+
+func checkBaseURL(v any) error {
+	text, ok := v.(string)
+	if !ok {
+		return nil
+	}
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || u.RawQuery != "" || u.Fragment != "" {
+		return errors.New("want a base URL, as http://10.0.0.9:7000")
+	}
+	return checkAddress(u.Host)
+}
--- /dev/null
+++ b/config/settings.go
@@ -0,0 +1,21 @@
+// Package config reads the settings of an entry host from JSON and checks them against a schema.
+package config
+
+import (
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Settings are the settings of yuccahinge serve. docs/SETTINGS.md describes the fields.
+type Settings struct {
+	Cluster       string              `json:"cluster"`
+	Host          yuccahinge.HostID   `json:"host"`
+	Domain        yuccahinge.DomainID `json:"domain"`
+	CallersAddr   string              `json:"callersAddr"`
+	PeersAddr     string              `json:"peersAddr"`
+	OperatorsAddr string              `json:"operatorsAddr"`
+	Platform      []string            `json:"platform"`
+	Seeds         []string            `json:"seeds"`
+	Limits        Limits              `json:"limits"`
+	Drain         Drain               `json:"drain"`
+	Log           Log                 `json:"log"`
+}
