Add claims, charges and the host's own drain, thin

Change: token (text form of claims), claim (table of one process life), charge (the desk: grant, forward, run, look up), once (HTTP client that net/http can't make send twice), drain (order of a host's own shutdown). Ruled out: reuse of connections for charges, since a searcher that closes an idle one under a request leaves an unknown; a notRun from a host that could not reach the owner, since the claim may have got there through another host. Shown by: go test ./claim ./token ./once ./drain. The desk has no test yet.

--- /dev/null
+++ b/charge/digest.go
@@ -0,0 +1,33 @@
+package charge
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// digest hashes a body without its insignificant white space, so that a proxy which reformats it changes nothing.
+func digest(body json.RawMessage) (yuccahinge.BodyDigest, error) {
+	var b bytes.Buffer
+	if err := json.Compact(&b, body); err != nil {
+		return "", err
+	}
+	sum := sha256.Sum256(b.Bytes())
+	return yuccahinge.BodyDigest(hex.EncodeToString(sum[:])), nil
+}
+
+// shardOf returns the shard that holds the business key, or nil when none does.
+func shardOf(ix *yuccahinge.Index, key string) *yuccahinge.Shard {
+	slot := uint32(xxhash.Sum64String(key) % yuccahinge.KeySpace)
+	for i := range ix.Shards {
+		s := &ix.Shards[i]
+		if s.From <= slot && slot < s.To {
+			return s
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/charge/run.go
@@ -0,0 +1,132 @@
+package charge
+
+import (
+	"context"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+// run is a charge that this host has started. It outlives the caller that brought it.
+type run struct {
+	request *yuccahinge.ChargeRequest
+	key     string
+	// deadline is the instant after which no attempt starts.
+	deadline yuccahinge.Millis
+	ended    chan struct{}
+	// answer may be read once ended is closed.
+	answer yuccahinge.ChargeAnswer
+}
+
+// drive runs the charge to its outcome and stores that.
+func (d *Desk) drive(ctx context.Context, r *run) {
+	r.answer = d.attempts(ctx, r)
+	r.answer.RequestID = r.request.RequestID
+	r.answer.Claim = r.request.Claim
+	r.answer.State = stateDone
+
+	d.mu.Lock()
+	err := d.table.End(d.Clock.Now(), r.request.Claim, r.answer)
+	delete(d.runs, r.request.Claim)
+	d.mu.Unlock()
+
+	if err != nil {
+		d.record(event.InvariantBroken, r.request, "", "outcome of a claim that was not running")
+	}
+	d.record(event.ChargeEnded, r.request, "", string(r.answer.Outcome)+" "+string(r.answer.Reason))
+	close(r.ended)
+}
+
+// attempts tries one searcher after the other, as long as the last one has proved that it did not run the charge.
+func (d *Desk) attempts(ctx context.Context, r *run) yuccahinge.ChargeAnswer {
+	state, _ := d.States.State()
+	ix, reason := route(state, r.request.Service)
+	if ix == nil {
+		return notRun(reason)
+	}
+	shard := shardOf(ix, r.key)
+	if shard == nil {
+		return notRun(yuccahinge.ReasonRefused)
+	}
+	reason = yuccahinge.ReasonUnreachable
+	var tried []yuccahinge.SearcherID
+	for len(tried) < maxAttempts {
+		now := d.Clock.Now()
+		if now >= r.deadline {
+			return notRun(yuccahinge.ReasonTimeout)
+		}
+		id, ok := d.Picker.Pick(now, ix, shard, tried)
+		if !ok || ix.Searchers[id] == nil {
+			break
+		}
+		tried = append(tried, id)
+		result := d.attempt(ctx, r, id, ix.Searchers[id], state.Ticket)
+		if result.Outcome != yuccahinge.NotRun {
+			return answerOf(&result)
+		}
+		reason = result.Reason
+	}
+	return notRun(reason)
+}
+
+// attempt sends the charge to one searcher.
+func (d *Desk) attempt(ctx context.Context, r *run, id yuccahinge.SearcherID, s *yuccahinge.Searcher, ticket yuccahinge.TicketNumber) yuccahinge.ChargeResult {
+	start := d.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, (r.deadline - start + settle).Duration())
+	defer cancel()
+	d.record(event.ChargeSent, r.request, id, "")
+	d.observeStart(start, id)
+	result := d.Caller.Charge(ctx, id, s, &yuccahinge.ChargeCall{
+		RequestID:  r.request.RequestID,
+		Service:    r.request.Service,
+		Claim:      r.request.Claim,
+		Key:        r.key,
+		Ticket:     ticket,
+		Body:       r.request.Body,
+		DeadlineMs: r.deadline - start,
+	})
+	d.observeEnd(start, id, &result)
+	return result
+}
+
+func (d *Desk) observeStart(now yuccahinge.Millis, id yuccahinge.SearcherID) {
+	if d.Observer != nil {
+		d.Observer.Started(now, id)
+	}
+}
+
+func (d *Desk) observeEnd(start yuccahinge.Millis, id yuccahinge.SearcherID, c *yuccahinge.ChargeResult) {
+	if d.Observer == nil {
+		return
+	}
+	now := d.Clock.Now()
+	r := yuccahinge.ShardResult{Outcome: c.Outcome, Reason: c.Reason, Latency: now - start, Err: c.Err}
+	if c.Reply != nil {
+		r.Reply = &yuccahinge.ShardReply{Outcome: c.Outcome, Reason: c.Reason, Load: c.Reply.Load}
+	}
+	d.Observer.Ended(now, id, &r)
+}
+
+// route returns the index that serves charges of the service, or nil with the reason why there is none.
+func route(state *yuccahinge.State, name yuccahinge.ServiceName) (*yuccahinge.Index, yuccahinge.Reason) {
+	if state == nil {
+		return nil, yuccahinge.ReasonUnreachable
+	}
+	service := state.Services[name]
+	if service == nil || service.Kind != yuccahinge.KindCharge {
+		return nil, yuccahinge.ReasonRefused
+	}
+	return &service.Index, ""
+}
+
+func notRun(reason yuccahinge.Reason) yuccahinge.ChargeAnswer {
+	return yuccahinge.ChargeAnswer{Outcome: yuccahinge.NotRun, Reason: reason}
+}
+
+// answerOf returns the answer of a result that ran or may have run.
+func answerOf(r *yuccahinge.ChargeResult) yuccahinge.ChargeAnswer {
+	if r.Outcome == yuccahinge.Ran && r.Reply != nil {
+		return yuccahinge.ChargeAnswer{Outcome: yuccahinge.Ran, Reply: r.Reply.Result}
+	}
+	return yuccahinge.ChargeAnswer{Outcome: yuccahinge.Unknown, Reason: r.Reason}
+}
--- /dev/null
+++ b/drain/drain_test.go
@@ -0,0 +1,44 @@
+package drain
+
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func TestDrainServesThenClosesThenIsDone(t *testing.T) {
+	var d Drain
+	for _, step := range []struct {
+		now      yuccahinge.Millis
+		inFlight int
+		want     Phase
+	}{
+		{0, 0, Serving},
+		{10, 3, Announced},
+		{10 + DefaultGrace - 1, 0, Announced},
+		{10 + DefaultGrace, 1, Closing},
+		{20 + DefaultGrace, 0, Closing},
+		{30 + DefaultGrace, 1, Closing},
+		{40 + DefaultGrace, 0, Closing},
+		{30 + DefaultGrace + DefaultQuiet, 0, Done},
+	} {
+		if step.now == 10 {
+			d.Start(10)
+		}
+		if got := d.Step(step.now, step.inFlight); got != step.want {
+			t.Fatalf("at %v with %d in flight the phase is %s, want %s", step.now, step.inFlight, got, step.want)
+		}
+	}
+	if d.Ready() || d.Cut() != 0 {
+		t.Fatalf("ready is %v and %d were cut", d.Ready(), d.Cut())
+	}
+}
+
+func TestDrainCountsWhatItsLimitCuts(t *testing.T) {
+	d := Drain{Grace: 5, Limit: 20}
+	d.Start(0)
+	d.Step(5, 2)
+	if got := d.Step(20, 2); got != Done || d.Cut() != 2 {
+		t.Fatalf("phase %s with %d cut, want done with 2", got, d.Cut())
+	}
+}
--- /dev/null
+++ b/once/once_test.go
@@ -0,0 +1,204 @@
+package once
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func call() *yuccahinge.ChargeCall {
+	return &yuccahinge.ChargeCall{RequestID: "r1", Service: "billing", Claim: "c1", Key: "k", Body: json.RawMessage(`{}`), DeadlineMs: 1000}
+}
+
+func send(t *testing.T, addr string) yuccahinge.ChargeResult {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	c := Client{Reply: 4096}
+	return c.Charge(ctx, "s1", &yuccahinge.Searcher{Addr: addr}, call())
+}
+
+func want(t *testing.T, r yuccahinge.ChargeResult, o yuccahinge.Outcome, reason yuccahinge.Reason) {
+	t.Helper()
+	if r.Outcome != o || r.Reason != reason {
+		t.Errorf("result is %s %q (%v), want %s %q", r.Outcome, r.Reason, r.Err, o, reason)
+	}
+}
+
+func TestReplies(t *testing.T) {
+	for _, c := range []struct {
+		name, reply string
+		status      int
+		outcome     yuccahinge.Outcome
+		reason      yuccahinge.Reason
+	}{
+		{"ran", `{"requestId":"r1","claim":"c1","outcome":"ran","result":{"n":1}}`, 200, yuccahinge.Ran, ""},
+		{"not run", `{"requestId":"r1","claim":"c1","outcome":"notRun","reason":"shed"}`, 503, yuccahinge.NotRun, yuccahinge.ReasonShed},
+		{"not run without reason", `{"requestId":"r1","claim":"c1","outcome":"notRun"}`, 200, yuccahinge.NotRun, yuccahinge.ReasonNotRun},
+		{"other request", `{"requestId":"r2","claim":"c1","outcome":"notRun"}`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"other claim", `{"requestId":"r1","claim":"c2","outcome":"ran"}`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"no outcome", `{"requestId":"r1","claim":"c1"}`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"ran with an error status", `{"requestId":"r1","claim":"c1","outcome":"ran"}`, 500, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"truncated", `{"requestId":"r1","claim":"c1","outcome":"notR`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"trailing", `{"requestId":"r1","claim":"c1","outcome":"notRun"}{}`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"bare refusal", `busy`, 503, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+		{"too large", `{"pad":"` + strings.Repeat("x", 5000) + `"}`, 200, yuccahinge.Unknown, yuccahinge.ReasonInvalid},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, c.reply)
+			}))
+			defer s.Close()
+			want(t, send(t, s.Listener.Addr().String()), c.outcome, c.reason)
+		})
+	}
+}
+
+// serveRaw answers each connection with the function and counts the requests read.
+func serveRaw(t *testing.T, answer func(net.Conn)) (string, *atomic.Int32) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var runs atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveConn(c, &runs, answer)
+		}
+	}()
+	return l.Addr().String(), &runs
+}
+
+func serveConn(c net.Conn, runs *atomic.Int32, answer func(net.Conn)) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if runs.Add(1) == 1 && req.Header.Get("Warm") != "" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
+		answer(c)
+		return
+	}
+}
+
+func TestALostReplyIsUnknownAndTheChargeIsSentOnce(t *testing.T) {
+	for name, answer := range map[string]func(net.Conn){
+		"closed without a reply": func(net.Conn) {},
+		"cut in mid-reply": func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"requestId\":\"r1\",")
+		},
+		"reset": func(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, runs := serveRaw(t, answer)
+			want(t, send(t, addr), yuccahinge.Unknown, yuccahinge.ReasonLost)
+			if n := runs.Load(); n != 1 {
+				t.Errorf("%d requests arrived, want 1", n)
+			}
+		})
+	}
+}
+
+func TestARedirectIsNotFollowed(t *testing.T) {
+	addr, runs := serveRaw(t, func(c net.Conn) {
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: http://%s/v1/charge\r\nContent-Length: 0\r\n\r\n", c.LocalAddr())
+	})
+	want(t, send(t, addr), yuccahinge.Unknown, yuccahinge.ReasonInvalid)
+	if n := runs.Load(); n != 1 {
+		t.Errorf("%d requests arrived, want 1", n)
+	}
+}
+
+func TestWhatWasNeverSentDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	want(t, send(t, l.Addr().String()), yuccahinge.NotRun, yuccahinge.ReasonUnreachable)
+	want(t, send(t, "bad address"), yuccahinge.NotRun, yuccahinge.ReasonUnreachable)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var c Client
+	r := c.Charge(ctx, "s1", &yuccahinge.Searcher{Addr: l.Addr().String()}, call())
+	want(t, r, yuccahinge.NotRun, yuccahinge.ReasonTimeout)
+}
+
+func TestACancelledCallIsUnknown(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	addr, _ := serveRaw(t, func(c net.Conn) {
+		cancel()
+		_, _ = c.Read(make([]byte, 1))
+	})
+	var c Client
+	want(t, c.Charge(ctx, "s1", &yuccahinge.Searcher{Addr: addr}, call()), yuccahinge.Unknown, yuccahinge.ReasonTimeout)
+}
+
+// TestTheTransportResendsWhatCanBeReplayed shows the behaviour of net/http that Client keeps clear of: the server
+// closes a reused connection under a request, and an ordinary request with an idempotency key arrives twice.
+func TestTheTransportResendsWhatCanBeReplayed(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		key  string
+		body func() io.Reader
+		runs int32
+	}{
+		{"replayable", "k", func() io.Reader { return strings.NewReader("{}") }, 3},
+		{"no key", "", func() io.Reader { return strings.NewReader("{}") }, 2},
+		{"body of package once", "k", func() io.Reader { return body{strings.NewReader("{}")} }, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, runs := serveRaw(t, func(net.Conn) {})
+			client := http.Client{Transport: &http.Transport{}}
+			post := func(warm string) error {
+				req, _ := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+addr+"/", c.body())
+				if warm != "" {
+					req.Header.Set("Warm", warm)
+				}
+				if c.key != "" {
+					req.Header.Set("Idempotency-Key", c.key)
+				}
+				resp, err := client.Do(req)
+				if err != nil {
+					return err
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				return resp.Body.Close()
+			}
+			if err := post("yes"); err != nil {
+				t.Fatal(err)
+			}
+			if err := post(""); err == nil {
+				t.Fatal("the request got a reply")
+			}
+			if n := runs.Load(); n != c.runs {
+				t.Errorf("%d requests arrived, want %d", n, c.runs)
+			}
+		})
+	}
+}
