--- a/charge/desk.go
+++ b/charge/desk.go
@@ -55,7 +55,8 @@
 
 // Charge runs a charge under its claim, wherever the owner is. The answer is Unknown when the owner can't be asked;
 // the same charge may then be sent again, since the owner runs it at most once. An error means that this request
-// started nothing; without a claim it has the code claimRequired.
+// started nothing; its outcome is NotRun only if nothing else runs or ran under the claim. Without a claim it has the
+// code claimRequired.
 func (d *Desk) Charge(ctx context.Context, r *yuccahinge.ChargeRequest) (*yuccahinge.ChargeAnswer, error) {
 	d.once.Do(d.open)
 	d.record(event.ChargeArrived, r, "", "")
@@ -118,7 +119,7 @@
 func (d *Desk) own(ctx context.Context, r *yuccahinge.ChargeRequest) (*yuccahinge.ChargeAnswer, error) {
 	sum, err := digest(r.Body)
 	if err != nil {
-		return nil, d.refused(r, fail(yuccahinge.CodeInvalid, "body is not JSON"))
+		return nil, d.refused(r, &yuccahinge.Error{Code: yuccahinge.CodeInvalid, Step: yuccahinge.StepDecode, Message: "body is not JSON"})
 	}
 	if ctx.Err() != nil {
 		return silent(r, yuccahinge.ReasonTimeout), nil
@@ -211,5 +212,5 @@
 }
 
 func fail(code yuccahinge.Code, message string) error {
-	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepClaim, Message: message}
+	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepClaim, Message: message, Outcome: yuccahinge.NotRun}
 }
--- a/charge/register.go
+++ b/charge/register.go
@@ -35,12 +35,8 @@
 		return nil, err
 	}
 	d.record(event.ChargeArrived, &r, "", "")
-	k, err := token.Parse(r.Claim)
-	if err == nil && k.Owner != d.host() {
-		err = fail(yuccahinge.CodeInvalid, "claim belongs to another host")
-	}
-	if err != nil {
-		return &answerReply{Fault: faultOf(d.host(), d.refused(&r, err))}, nil
+	if !d.owns(r.Claim) {
+		return &answerReply{Answer: *silent(&r, yuccahinge.ReasonUnreachable)}, nil
 	}
 	r.DeadlineMs = d.deadline(&r)
 	ctx, cancel := context.WithTimeout(ctx, r.DeadlineMs.Duration())
@@ -57,9 +53,19 @@
 	if err := decode(&r); err != nil {
 		return nil, err
 	}
+	if !d.owns(r.Claim) {
+		return &answerReply{Answer: *silent(&yuccahinge.ChargeRequest{Claim: r.Claim}, yuccahinge.ReasonUnreachable)}, nil
+	}
 	a, err := d.lookup(r.Claim)
 	if err != nil {
 		return &answerReply{Fault: faultOf(d.host(), err)}, nil
 	}
 	return &answerReply{Answer: *a}, nil
 }
+
+// owns reports whether the claim may be one of this host's. A host that took over the address of another one
+// receives the calls meant for that one, and knows nothing of its claims.
+func (d *Desk) owns(id yuccahinge.ClaimID) bool {
+	k, err := token.Parse(id)
+	return err == nil && k.Owner == d.host()
+}
--- a/charge/wire.go
+++ b/charge/wire.go
@@ -32,10 +32,11 @@
 
 // fault is an error as it travels between hosts. It tells the owner's word from a failure of the call.
 type fault struct {
-	Code    yuccahinge.Code `json:"code"`
-	Step    yuccahinge.Step `json:"step"`
-	Peer    string          `json:"peer,omitempty"`
-	Message string          `json:"message"`
+	Code    yuccahinge.Code    `json:"code"`
+	Step    yuccahinge.Step    `json:"step"`
+	Peer    string             `json:"peer,omitempty"`
+	Message string             `json:"message"`
+	Outcome yuccahinge.Outcome `json:"outcome,omitempty"`
 }
 
 func faultOf(self yuccahinge.HostID, err error) *fault {
@@ -50,6 +51,7 @@
 	f.Code = e.Code
 	f.Step = e.Step
 	f.Message = e.Message
+	f.Outcome = e.Outcome
 	if e.Peer != "" {
 		f.Peer = e.Peer
 	}
@@ -60,5 +62,5 @@
 	if f == nil {
 		return nil
 	}
-	return &yuccahinge.Error{Code: f.Code, Step: f.Step, Peer: f.Peer, Message: f.Message}
+	return &yuccahinge.Error{Code: f.Code, Step: f.Step, Peer: f.Peer, Message: f.Message, Outcome: f.Outcome}
 }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -170,7 +170,7 @@
 		return nil, Decision{Verdict: Refuse, Err: err}
 	}
 	if k.Owner != t.Owner {
-		return nil, refuse(yuccahinge.CodeInvalid, "claim belongs to host "+string(k.Owner), ErrNotGranted)
+		return nil, refuse(yuccahinge.CodeConflict, "claim belongs to host "+string(k.Owner), ErrNotGranted)
 	}
 	if k.Incarnation != t.Incarnation {
 		return nil, lost(id, yuccahinge.ReasonOwnerLost)
@@ -284,6 +284,11 @@
 	return Decision{Verdict: Refuse, Err: refusal(code, message, err)}
 }
 
+// refusal says nothing of the outcome of the claim or of the key, which may be running, except where neither exists.
 func refusal(code yuccahinge.Code, message string, err error) error {
-	return &yuccahinge.Error{Code: code, Step: yuccahinge.StepClaim, Message: message, Err: err}
+	e := &yuccahinge.Error{Code: code, Step: yuccahinge.StepClaim, Message: message, Err: err}
+	if code != yuccahinge.CodeConflict {
+		e.Outcome = yuccahinge.NotRun
+	}
+	return e
 }
--- a/token/token.go
+++ b/token/token.go
@@ -105,5 +105,7 @@
 }
 
 func malformed(why string) error {
-	return &yuccahinge.Error{Code: yuccahinge.CodeInvalid, Step: yuccahinge.StepClaim, Message: "claim is malformed: " + why}
+	return &yuccahinge.Error{
+		Code: yuccahinge.CodeInvalid, Step: yuccahinge.StepClaim, Message: "claim is malformed: " + why, Outcome: yuccahinge.NotRun,
+	}
 }
