--- a/query/engine.go
+++ b/query/engine.go
@@ -66,8 +66,7 @@
 }
 
 // Search answers one search. A partial answer is no error; an answer with the outcome NotRun says that
-// nothing ran anywhere. An error is a *yuccahinge.Error, and all of them but CodePoisoned, CodeInternal and
-// a CodeDeadline of StepGather come before anything was sent.
+// nothing ran anywhere. An error is a *yuccahinge.Error; its Outcome is NotRun when nothing was sent.
 func (e *Engine) Search(ctx context.Context, r *yuccahinge.SearchRequest) (*yuccahinge.SearchAnswer, error) {
 	arrived := e.now()
 	e.record(yuccahinge.Event{Code: event.SearchArrived, Request: r.RequestID, Service: r.Service})
@@ -243,6 +242,7 @@
 	return defaultMaxDeadline
 }
 
+// fail returns an error that arose before anything was sent.
 func fail(code yuccahinge.Code, step yuccahinge.Step, message string) error {
-	return &yuccahinge.Error{Code: code, Step: step, Message: message}
+	return &yuccahinge.Error{Code: code, Step: step, Message: message, Outcome: yuccahinge.NotRun}
 }
--- a/query/run.go
+++ b/query/run.go
@@ -189,7 +189,7 @@
 func (q *run) answer() (*yuccahinge.SearchAnswer, error) {
 	e := q.engine
 	if q.gather.Poisoned() {
-		return nil, fail(yuccahinge.CodePoisoned, yuccahinge.StepGather, "the query crashed searchers and is refused for a while")
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodePoisoned, Step: yuccahinge.StepGather, Message: "the query crashed searchers and is refused for a while"}
 	}
 	answer, duplicates, err := q.gather.Answer()
 	if err != nil {
