--- a/frame/fault.go
+++ b/frame/fault.go
@@ -10,17 +10,18 @@
 
 // Fault is an error on its way to the caller.
 type Fault struct {
-	Code    yuccahinge.Code `json:"c"`
-	Step    yuccahinge.Step `json:"s"`
-	Peer    string          `json:"p,omitempty"`
-	Message string          `json:"m"`
+	Code    yuccahinge.Code    `json:"c"`
+	Step    yuccahinge.Step    `json:"s"`
+	Peer    string             `json:"p,omitempty"`
+	Message string             `json:"m"`
+	Outcome yuccahinge.Outcome `json:"o,omitempty"`
 }
 
 // FaultOf returns the fault that stands for err.
 func FaultOf(err error) *Fault {
 	var e *yuccahinge.Error
 	if errors.As(err, &e) {
-		return &Fault{Code: e.Code, Step: e.Step, Peer: e.Peer, Message: e.Message}
+		return &Fault{Code: e.Code, Step: e.Step, Peer: e.Peer, Message: e.Message, Outcome: e.Outcome}
 	}
 	if errors.Is(err, context.DeadlineExceeded) {
 		return &Fault{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepPeer, Message: err.Error()}
@@ -34,5 +35,5 @@
 	if peer == "" {
 		peer = from
 	}
-	return &yuccahinge.Error{Code: f.Code, Step: f.Step, Peer: peer, Message: f.Message}
+	return &yuccahinge.Error{Code: f.Code, Step: f.Step, Peer: peer, Message: f.Message, Outcome: f.Outcome}
 }
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -187,14 +187,14 @@
 func TestTypedErrorsTravel(t *testing.T) {
 	var s peer.Server
 	s.Handle("fail", func(context.Context, func(any) error) (any, error) {
-		return nil, &yuccahinge.Error{Code: yuccahinge.CodeConflict, Step: yuccahinge.StepClaim, Message: "taken"}
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeConflict, Step: yuccahinge.StepClaim, Message: "taken", Outcome: yuccahinge.NotRun}
 	})
 	s.Handle("echo", echo)
 	addr := serve(t, &s)
 	var p Pool
 	defer p.Close()
 	err := p.Call(t.Context(), addr, "fail", 1, nil)
-	want := yuccahinge.Error{Code: yuccahinge.CodeConflict, Step: yuccahinge.StepClaim, Peer: addr, Message: "taken"}
+	want := yuccahinge.Error{Code: yuccahinge.CodeConflict, Step: yuccahinge.StepClaim, Peer: addr, Message: "taken", Outcome: yuccahinge.NotRun}
 	var got *yuccahinge.Error
 	if !errors.As(err, &got) || *got != want {
 		t.Errorf("got %v, want %v", err, &want)
