--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -37,10 +37,11 @@
 func main() {
 	flaggy.SetName("standin")
 	flaggy.SetDescription("Stand-ins for the platform, searchers and network links.")
-	platform, searcher, link := newPlatform(), newSearcher(), newLink()
+	platform, searcher, link, tell := newPlatform(), newSearcher(), newLink(), newTell()
 	flaggy.AttachSubcommand(platform.command, 1)
 	flaggy.AttachSubcommand(searcher.command, 1)
 	flaggy.AttachSubcommand(link.command, 1)
+	flaggy.AttachSubcommand(tell.command, 1)
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -52,6 +53,8 @@
 		err = searcher.run(ctx)
 	case link.command.Used:
 		err = link.run(ctx)
+	case tell.command.Used:
+		err = tell.run(ctx)
 	default:
 		flaggy.ShowHelp("name a stand-in")
 		os.Exit(exitUsage)
--- a/entry/charge.go
+++ b/entry/charge.go
@@ -11,7 +11,7 @@
 
 func (f *Front) grant(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
 	var req yuccahinge.ClaimRequest
-	if err := decode(w, r, &req); err != nil {
+	if err := f.decode(w, r, &req); err != nil {
 		writeError(w, id, err)
 		return
 	}
@@ -39,7 +39,7 @@
 
 func (f *Front) charge(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
 	var body json.RawMessage
-	if err := decode(w, r, &body); err != nil {
+	if err := f.decode(w, r, &body); err != nil {
 		writeError(w, id, err)
 		return
 	}
--- a/entry/decode.go
+++ b/entry/decode.go
@@ -13,24 +13,18 @@
 )
 
 const (
-	// maxBodyBytes bounds a caller's body.
-	maxBodyBytes = 1 << 20
 	// maxKeyBytes bounds a business key.
 	maxKeyBytes = 256
 	// maxRequestIDBytes bounds a caller's Request-Id.
 	maxRequestIDBytes = 128
-	// maxDeadline bounds the deadline that a caller may ask for.
-	maxDeadline = 60 * yuccahinge.Second
-	// bodyTimeout bounds how long a caller may take to send its body.
-	bodyTimeout = 5 * time.Second
 )
 
 // decode fills v from the body: one JSON value without unknown fields, bounded in size and time.
-func decode(w http.ResponseWriter, r *http.Request, v any) error {
+func (f *Front) decode(w http.ResponseWriter, r *http.Request, v any) error {
 	ctl := http.NewResponseController(w)
 	// Recorders of tests have no connection and thus no deadline.
-	_ = ctl.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	_ = ctl.SetReadDeadline(time.Now().Add(f.readTimeout().Duration()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, f.maxBodyBytes()))
 	if err != nil {
 		return bodyError(err)
 	}
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -9,11 +9,11 @@
 	"github.com/yuccahinge/yuccahinge"
 )
 
-// errLeaving refuses a request that arrived after the host stopped taking new work.
-var errLeaving = &yuccahinge.Error{
+// errCrowded refuses a request beyond the most that are served at once.
+var errCrowded = &yuccahinge.Error{
 	Code:    yuccahinge.CodeUnavailable,
 	Step:    yuccahinge.StepAdmit,
-	Message: "this host is leaving",
+	Message: "too many requests are in flight on this host",
 	Outcome: yuccahinge.NotRun,
 }
 
--- a/entry/front.go
+++ b/entry/front.go
@@ -27,8 +27,12 @@
 	Charger  charger
 	// Ready reports whether the balancer may send requests, and why not.
 	Ready func() (bool, string)
-	// Closing reports whether new requests are refused because the host is leaving.
-	Closing func() bool
+	// MaxBodyBytes bounds a body, ReadTimeout the time it takes to arrive, MaxDeadline what a caller may
+	// ask for, and MaxInFlight the requests served at once. Zero takes a default.
+	MaxBodyBytes int64
+	ReadTimeout  yuccahinge.Millis
+	MaxDeadline  yuccahinge.Millis
+	MaxInFlight  int
 
 	inFlight atomic.Int64
 }
@@ -50,20 +54,18 @@
 
 type handler func(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID)
 
-// counted counts the request before it looks at the drain, so that a drain that sees no request in
-// flight has seen every admitted one.
+// counted counts the request from its arrival to the end of its answer.
 func (f *Front) counted(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		f.inFlight.Add(1)
+		now := f.inFlight.Add(1)
 		defer f.inFlight.Add(-1)
 		id, err := requestID(r)
 		if err != nil {
 			writeError(w, id, err)
 			return
 		}
-		if f.Closing != nil && f.Closing() {
-			w.Header().Set("Connection", "close")
-			writeError(w, id, errLeaving)
+		if now > int64(f.maxInFlight()) {
+			writeError(w, id, errCrowded)
 			return
 		}
 		h(w, r, id)
--- a/entry/front_test.go
+++ b/entry/front_test.go
@@ -53,7 +53,7 @@
 		{name: "two values", method: "POST", path: "/v1/search/s", body: `{"query":1}{}`, status: 400, outcome: yuccahinge.NotRun},
 		{name: "negative deadline", method: "POST", path: "/v1/search/s", body: `{"query":1,"deadlineMs":-1}`, status: 400, outcome: yuccahinge.NotRun},
 		{name: "huge deadline", method: "POST", path: "/v1/search/s", body: `{"query":1,"deadlineMs":1e12}`, status: 400, outcome: yuccahinge.NotRun},
-		{name: "oversized", method: "POST", path: "/v1/search/s", body: `{"query":"` + strings.Repeat("x", maxBodyBytes) + `"}`, status: 413, outcome: yuccahinge.NotRun},
+		{name: "oversized", method: "POST", path: "/v1/search/s", body: `{"query":"` + strings.Repeat("x", defaultMaxBodyBytes) + `"}`, status: 413, outcome: yuccahinge.NotRun},
 		{name: "no claim", method: "POST", path: "/v1/charge/s", body: `{"key":"k"}`, status: 428, outcome: yuccahinge.NotRun},
 		{name: "unknown charge", method: "POST", path: "/v1/charge/s", claim: "c1", body: `{"key":"k"}`, status: 504, outcome: yuccahinge.Unknown},
 		{name: "lookup", method: "GET", path: "/v1/claims/c1", status: 200, outcome: yuccahinge.Ran},
@@ -87,8 +87,9 @@
 	}
 }
 
-func TestClosingRefusesWithNotRun(t *testing.T) {
-	f := &Front{Closing: func() bool { return true }}
+func TestCrowdedHostRefusesWithNotRun(t *testing.T) {
+	f := &Front{MaxInFlight: 1}
+	f.inFlight.Add(1)
 	w := httptest.NewRecorder()
 	f.Handler().ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/search/s", strings.NewReader(`{}`)))
 	if w.Code != http.StatusServiceUnavailable || !strings.Contains(w.Body.String(), `"outcome":"notRun"`) {
--- /dev/null
+++ b/entry/limits.go
@@ -0,0 +1,39 @@
+package entry
+
+import "github.com/yuccahinge/yuccahinge"
+
+// The limits of a Front whose fields are zero.
+const (
+	defaultMaxBodyBytes = 65536
+	defaultReadTimeout  = 5 * yuccahinge.Second
+	defaultMaxDeadline  = 30 * yuccahinge.Second
+	defaultMaxInFlight  = 2000
+)
+
+func (f *Front) maxBodyBytes() int64 {
+	if f.MaxBodyBytes > 0 {
+		return f.MaxBodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
+func (f *Front) readTimeout() yuccahinge.Millis {
+	if f.ReadTimeout > 0 {
+		return f.ReadTimeout
+	}
+	return defaultReadTimeout
+}
+
+func (f *Front) maxDeadline() yuccahinge.Millis {
+	if f.MaxDeadline > 0 {
+		return f.MaxDeadline
+	}
+	return defaultMaxDeadline
+}
+
+func (f *Front) maxInFlight() int {
+	if f.MaxInFlight > 0 {
+		return f.MaxInFlight
+	}
+	return defaultMaxInFlight
+}
--- a/entry/search.go
+++ b/entry/search.go
@@ -9,13 +9,13 @@
 
 func (f *Front) search(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
 	req := &yuccahinge.SearchRequest{}
-	if err := decode(w, r, req); err != nil {
+	if err := f.decode(w, r, req); err != nil {
 		writeError(w, id, err)
 		return
 	}
 	req.RequestID = id
 	req.Service = yuccahinge.ServiceName(r.PathValue("service"))
-	if err := checkSearch(req); err != nil {
+	if err := f.checkSearch(req); err != nil {
 		writeError(w, id, err)
 		return
 	}
@@ -27,19 +27,19 @@
 	writeAnswer(w, ans)
 }
 
-func checkSearch(r *yuccahinge.SearchRequest) error {
+func (f *Front) checkSearch(r *yuccahinge.SearchRequest) error {
 	if len(r.Query) == 0 {
 		return invalid("query is missing")
 	}
-	return checkDeadline(r.DeadlineMs)
+	return f.checkDeadline(r.DeadlineMs)
 }
 
-func checkDeadline(d yuccahinge.Millis) error {
+func (f *Front) checkDeadline(d yuccahinge.Millis) error {
 	if d < 0 {
 		return invalid(fmt.Sprintf("deadlineMs is %v, want more than 0", float64(d)))
 	}
-	if d > maxDeadline {
-		return invalid(fmt.Sprintf("deadlineMs is %v, want at most %v", float64(d), float64(maxDeadline)))
+	if d > f.maxDeadline() {
+		return invalid(fmt.Sprintf("deadlineMs is %v, want at most %v", float64(d), float64(f.maxDeadline())))
 	}
 	return nil
 }
--- /dev/null
+++ b/node/leave.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge/drain"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+// departure is the host's own drain as other goroutines see it.
+type departure struct {
+	phase atomic.Value // drain.Phase
+}
+
+func (d *departure) now() drain.Phase {
+	if p, ok := d.phase.Load().(drain.Phase); ok {
+		return p
+	}
+	return drain.Serving
+}
+
+// drain takes the host from serving to done and cuts nothing in flight before the deadline.
+func (n *Node) drain(ctx context.Context) {
+	d := drain.Drain{Grace: n.Settings.Drain.GraceMs, Limit: n.Settings.Drain.DeadlineMs}
+	d.Start(n.clock.Now())
+	n.parts.keeper.Leave(ctx)
+	for {
+		phase := d.Step(n.clock.Now(), n.busy())
+		if phase != n.leave.now() {
+			n.enter(ctx, phase)
+		}
+		if phase == drain.Done {
+			break
+		}
+		if next, ok := d.Next(n.clock.Now()); ok {
+			sleep(ctx, (next - n.clock.Now()).Duration())
+		}
+	}
+	if cut := d.Cut(); cut > 0 {
+		n.record(event.DrainCut, fmt.Sprintf("%d in flight", cut))
+	}
+}
+
+// busy counts all work that the drain waits for.
+func (n *Node) busy() int {
+	return n.parts.front.InFlight() + n.parts.desk.Running()
+}
+
+func (n *Node) enter(ctx context.Context, phase drain.Phase) {
+	n.leave.phase.Store(phase)
+	n.record(event.ProcessDraining, string(phase))
+	switch phase {
+	case drain.Announced:
+		// Connections that stay open between requests would keep their callers here.
+		n.parts.callers.SetKeepAlivesEnabled(false)
+	case drain.Closing:
+		n.parts.desk.Seal()
+		go func() { _ = n.parts.callers.Shutdown(ctx) }()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,90 @@
+// Package node wires the parts of an entry host together and runs them.
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/config"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/hybrid"
+	"github.com/yuccahinge/yuccahinge/meter"
+)
+
+// Node is an entry host. Set Settings, call Listen, then Run.
+type Node struct {
+	Settings *config.Settings
+	Version  string
+
+	self   yuccahinge.Member
+	clock  clock.Clock
+	stamps hybrid.Clock
+	events event.Ring
+	meter  meter.Meter
+	ports  ports
+	parts  parts
+	leave  departure
+	start  yuccahinge.Millis
+}
+
+// Listen binds the three ports. On an error nothing stays bound, and the error names the setting.
+func (n *Node) Listen(ctx context.Context) error {
+	if err := n.ports.listen(ctx, n.Settings); err != nil {
+		return err
+	}
+	n.self = yuccahinge.Member{
+		ID:          string(n.Settings.Host),
+		Domain:      n.Settings.Domain,
+		Role:        yuccahinge.RoleEntry,
+		Status:      yuccahinge.StatusLive,
+		Incarnation: newIncarnation(),
+		CallerAddr:  n.ports.callers.Addr().String(),
+		PeerAddr:    n.ports.peers.Addr().String(),
+		AdminAddr:   n.ports.operators.Addr().String(),
+	}
+	return nil
+}
+
+// Self returns this host's row of the membership list. It is known after Listen.
+func (n *Node) Self() yuccahinge.Member { return n.self }
+
+// Run serves until ctx ends, then drains and returns. It returns early with an error when a part fails.
+func (n *Node) Run(ctx context.Context) error {
+	n.start = n.clock.Now()
+	if err := n.wire(); err != nil {
+		n.ports.close()
+		return err
+	}
+	n.record(event.ProcessStarted, "version "+n.Version)
+	// The parts outlive ctx: requests in flight need them until the drain is done.
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, background := errgroup.WithContext(background)
+	n.serve(background, g)
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+		case <-background.Done():
+			return nil
+		}
+		n.drain(background)
+		stop()
+		return nil
+	})
+	err := g.Wait()
+	n.record(event.ProcessStopped, "")
+	return err
+}
+
+func (n *Node) record(code yuccahinge.EventCode, detail string) {
+	n.events.Record(yuccahinge.Event{Code: code, Detail: detail})
+}
+
+func newIncarnation() yuccahinge.Incarnation {
+	return yuccahinge.Incarnation(fmt.Sprintf("%016x", rand.Uint64()))
+}
--- /dev/null
+++ b/node/status.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/drain"
+)
+
+// ready reports whether the balancer may send requests here.
+func (n *Node) ready() (bool, string) {
+	if phase := n.leave.now(); phase != drain.Serving {
+		return false, "leaving: " + string(phase)
+	}
+	return n.parts.keeper.Ready()
+}
+
+func (n *Node) status() yuccahinge.HostStatus {
+	ok, why := n.ready()
+	st := yuccahinge.HostStatus{
+		Host:        n.Settings.Host,
+		Domain:      n.self.Domain,
+		Incarnation: n.self.Incarnation,
+		Version:     n.Version,
+		Ready:       ok,
+		Reason:      why,
+		Phase:       string(n.leave.now()),
+		UptimeMs:    n.clock.Now() - n.start,
+		InFlight:    n.parts.front.InFlight(),
+		Charges:     n.parts.desk.Running(),
+		Members:     n.parts.keeper.Roster().Members(),
+	}
+	state, age := n.parts.keeper.State()
+	if state != nil {
+		st.Ticket = state.Ticket
+		st.Digest = state.Digest
+		st.StateAgeMs = age
+	}
+	return st
+}
+
+func (n *Node) confirm(number yuccahinge.TicketNumber) yuccahinge.Confirmation {
+	head, digest, inForce := n.parts.keeper.Confirm(number)
+	return yuccahinge.Confirmation{
+		Host:     n.Settings.Host,
+		Domain:   n.self.Domain,
+		Number:   number,
+		InForce:  inForce,
+		Head:     head,
+		Digest:   digest,
+		Conflict: n.parts.keeper.Conflicted(),
+	}
+}
+
+// gauges registers what the metrics read from the parts.
+func (n *Node) gauges() error {
+	for _, g := range []struct {
+		name, description string
+		read              func() float64
+	}{
+		{"yuccahinge.ticket", "Number of the ticket in force.", func() float64 { return float64(n.status().Ticket) }},
+		{"yuccahinge.state.age", "Time since the state was known to be the newest, in ms.", func() float64 { return float64(n.status().StateAgeMs) }},
+		{"yuccahinge.requests", "Requests in flight.", func() float64 { return float64(n.parts.front.InFlight()) }},
+		{"yuccahinge.charges", "Charges that run under claims of this host.", func() float64 { return float64(n.parts.desk.Running()) }},
+		{"yuccahinge.members", "Entry hosts that are not dead.", func() float64 { return float64(len(n.parts.keeper.Roster().Members())) }},
+	} {
+		if err := n.meter.Gauge(g.name, g.description, g.read); err != nil {
+			return err
+		}
+	}
+	return nil
+}
