--- /dev/null
+++ b/bench/scene/shipped.go
@@ -0,0 +1,65 @@
+package scene
+
+import (
+	"context"
+	"sync"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/hybrid"
+	"github.com/yuccahinge/yuccahinge/tier"
+)
+
+// Shipped returns the side of the daemon's own wiring. Adapt changes a host's tier before its first
+// search, to measure one mechanism alone; it may be nil.
+func Shipped(name string, adapt func(t *tier.Tier)) Side {
+	return Side{
+		Name: name,
+		New:  func(p Place) (Host, error) { return startShipped(&p, adapt), nil },
+	}
+}
+
+// shipped is an entry host with the shipped policy.
+type shipped struct {
+	tier   tier.Tier
+	events event.Ring
+	stamps hybrid.Clock
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func startShipped(p *Place, adapt func(t *tier.Tier)) *shipped {
+	s := new(shipped)
+	s.events.Host = p.ID
+	s.events.Clock = clock.Clock{}
+	s.events.Stamps = &s.stamps
+	t := &s.tier
+	t.Domain = p.Domain
+	t.Seed = p.Seed
+	t.Hosts = func() int { return p.Hosts }
+	t.Engine.States = p.States
+	t.Engine.Gossip = p.Gossip
+	t.Engine.Clock = clock.Clock{}
+	t.Engine.Recorder = &s.events
+	t.Wire()
+	if adapt != nil {
+		adapt(t)
+	}
+	p.Gossip.Subscribe(t.Engine.Hear)
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	s.done.Go(func() { _ = t.Run(ctx) })
+	return s
+}
+
+// Search implements Host.
+func (s *shipped) Search(ctx context.Context, r *yuccahinge.SearchRequest) (*yuccahinge.SearchAnswer, error) {
+	return s.tier.Engine.Search(ctx, r)
+}
+
+// Close implements Host.
+func (s *shipped) Close() {
+	s.stop()
+	s.done.Wait()
+}
--- a/bench/scene/side.go
+++ b/bench/scene/side.go
@@ -18,6 +18,8 @@
 type Place struct {
 	ID     yuccahinge.HostID
 	Domain yuccahinge.DomainID
+	// Seed starts the host's random choices.
+	Seed uint64
 	// Hosts is the number of entry hosts that share the searchers.
 	Hosts  int
 	States yuccahinge.StateHolder
--- a/bench/scene/world.go
+++ b/bench/scene/world.go
@@ -68,6 +68,7 @@
 	s.place = Place{
 		ID:     yuccahinge.HostID(fmt.Sprintf("entry-%d", i)),
 		Domain: w.Plan.HostDomain(i),
+		Seed:   w.Seed<<8 + uint64(i),
 		Hosts:  w.Plan.Hosts,
 		States: s.holder,
 	}
--- a/cmd/bench/sides.go
+++ b/cmd/bench/sides.go
@@ -8,7 +8,7 @@
 
 // sides returns what a run compares; targets are for the last.
 func sides(connections int) []scene.Side {
-	return []scene.Side{scene.Baseline(connections)}
+	return []scene.Side{scene.Baseline(connections), scene.Shipped("shipped", nil)}
 }
 
 func setMedian(p *fleet.Plan, ms float64) {
