Let the engine take searchers' reports from outside of queries

Cause: probes and replies must teach the same parts; the node would have repeated the code. Change: Engine.Report, used by learn and by the node.

--- a/query/notice.go
+++ b/query/notice.go
@@ -46,14 +46,19 @@
 	if r.Reply == nil {
 		return
 	}
+	e.Report(id, &r.Reply.Load)
+	if e.Ready != nil && r.Reason == yuccahinge.ReasonVersion {
+		e.Ready.Lacks(id, version)
+	}
+}
+
+// Report takes what a searcher says of itself, with a reply or outside of queries.
+func (e *Engine) Report(id yuccahinge.SearcherID, l *yuccahinge.LoadReport) {
 	if e.Ready != nil {
-		e.Ready.Observe(id, &r.Reply.Load)
-		if r.Reason == yuccahinge.ReasonVersion {
-			e.Ready.Lacks(id, version)
-		}
+		e.Ready.Observe(id, l)
 	}
-	if e.Leave != nil && e.Leave.See(id, &r.Reply.Load) {
-		e.tellDraining(id, r.Reply.Load.Incarnation)
+	if e.Leave != nil && e.Leave.See(id, l) {
+		e.tellDraining(id, l.Incarnation)
 	}
 }
 
