--- a/node/parts.go
+++ b/node/parts.go
@@ -20,6 +20,7 @@
 	"github.com/yuccahinge/yuccahinge/ready"
 	"github.com/yuccahinge/yuccahinge/route"
 	"github.com/yuccahinge/yuccahinge/search"
+	"github.com/yuccahinge/yuccahinge/share"
 )
 
 const (
@@ -43,6 +44,7 @@
 	limit     limit.Limit
 	retries   budget.Budget
 	hedges    budget.Budget
+	share     share.Share
 	searchers search.Client
 	engine    query.Engine
 	once      once.Client
--- a/node/serve.go
+++ b/node/serve.go
@@ -29,8 +29,9 @@
 	probe := probe.Probe{
 		States: &p.keeper,
 		Loader: &p.searchers,
-		Heard:  p.engine.Heard,
+		Heard:  n.heard,
 		Urgent: p.ready.Unknown,
+		Round:  n.countHosts,
 		Clock:  n.clock,
 	}
 	g.Go(func() error { return p.peers.Serve(ctx, n.ports.peers) })
@@ -47,6 +48,19 @@
 	})
 }
 
+// heard takes a searcher's report that came outside of queries.
+func (n *Node) heard(id yuccahinge.SearcherID, r *yuccahinge.LoadReport) {
+	p := &n.parts
+	p.route.Report(n.clock.Now(), id, r)
+	p.keeper.Living(id, r.Incarnation)
+	p.engine.Report(id, r)
+}
+
+// countHosts tells the share how many hosts may hold connections to searchers.
+func (n *Node) countHosts() {
+	n.parts.share.Observe(n.clock.Now(), len(n.parts.keeper.Roster().Members()))
+}
+
 // serveHTTP serves until ctx ends. A server that was shut down before waits for ctx too.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/node/wire.go
+++ b/node/wire.go
@@ -6,7 +6,6 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/admin"
-	"github.com/yuccahinge/yuccahinge/share"
 	"github.com/yuccahinge/yuccahinge/source"
 )
 
@@ -105,7 +104,7 @@
 
 // connections returns this host's share of a searcher's connections.
 func (n *Node) connections(_ yuccahinge.SearcherID, s *yuccahinge.Searcher) int {
-	return share.Share{}.Limit(s.Connections, len(n.parts.keeper.Roster().Members()))
+	return n.parts.share.Limit(n.clock.Now(), s.Connections)
 }
 
 func (n *Node) wireCharges() {
