Merge hits without a map and sort only those that stay

Change: an open hash table over positions finds duplicates, and only the best Max hits are kept sorted.

--- a/merge/merge.go
+++ b/merge/merge.go
@@ -14,23 +14,44 @@
 	Max int
 
 	hits       []yuccahinge.Hit
+	seen       table
 	duplicates []yuccahinge.DocumentID
-	done       bool
+	sorted     bool
 }
 
 // Grow makes room for n more hits.
-func (m *Merge) Grow(n int) { m.hits = slices.Grow(m.hits, n) }
+func (m *Merge) Grow(n int) {
+	m.hits = slices.Grow(m.hits, n)
+	m.seen.grow(m.hits, len(m.hits)+n)
+}
 
-// Add takes the hits of one shard.
+// Add takes the hits of one shard. It must not be called after Hits.
 func (m *Merge) Add(hits []yuccahinge.Hit) {
-	m.hits = append(m.hits, hits...)
-	m.done = false
+	for i := range hits {
+		m.add(&hits[i])
+	}
+}
+
+// add keeps the better of two hits of one document.
+func (m *Merge) add(h *yuccahinge.Hit) {
+	old, found := m.seen.insert(m.hits, h.ID)
+	if !found {
+		m.hits = append(m.hits, *h)
+		return
+	}
+	m.duplicates = append(m.duplicates, h.ID)
+	if h.Score > m.hits[old].Score {
+		m.hits[old] = *h
+	}
 }
 
 // Hits returns the best hits by descending score, then ascending id. A document that several shards
 // returned stands once, with its best score. The result is never nil.
 func (m *Merge) Hits() []yuccahinge.Hit {
-	m.finish()
+	if !m.sorted {
+		m.sorted = true
+		m.hits = best(m.hits, m.Max)
+	}
 	if m.hits == nil {
 		return []yuccahinge.Hit{}
 	}
@@ -38,22 +59,7 @@
 }
 
 // Duplicates returns the ids that were found more than once, cut documents included.
-func (m *Merge) Duplicates() []yuccahinge.DocumentID {
-	m.finish()
-	return m.duplicates
-}
-
-func (m *Merge) finish() {
-	if m.done {
-		return
-	}
-	m.done = true
-	slices.SortFunc(m.hits, compare)
-	m.dedupe()
-	if m.Max > 0 && len(m.hits) > m.Max {
-		m.hits = m.hits[:m.Max]
-	}
-}
+func (m *Merge) Duplicates() []yuccahinge.DocumentID { return m.duplicates }
 
 func compare(a, b yuccahinge.Hit) int {
 	if c := cmp.Compare(b.Score, a.Score); c != 0 {
@@ -62,16 +68,22 @@
 	return cmp.Compare(a.ID, b.ID)
 }
 
-func (m *Merge) dedupe() {
-	seen := make(map[yuccahinge.DocumentID]struct{}, len(m.hits))
-	kept := m.hits[:0]
-	for _, h := range m.hits {
-		if _, ok := seen[h.ID]; ok {
-			m.duplicates = append(m.duplicates, h.ID)
+// best sorts the hits and returns the first n, or all when n is zero. It sorts only what may be among them.
+func best(hits []yuccahinge.Hit, n int) []yuccahinge.Hit {
+	if n <= 0 || n >= len(hits) {
+		slices.SortFunc(hits, compare)
+		return hits
+	}
+	top := hits[:n]
+	slices.SortFunc(top, compare)
+	for i := n; i < len(hits); i++ {
+		if compare(hits[i], top[n-1]) >= 0 {
 			continue
 		}
-		seen[h.ID] = struct{}{}
-		kept = append(kept, h)
+		at, _ := slices.BinarySearchFunc(top, hits[i], compare)
+		h := hits[i]
+		copy(top[at+1:], top[at:n-1])
+		top[at] = h
 	}
-	m.hits = kept
+	return top
 }
