--- a/once/once.go
+++ b/once/once.go
@@ -131,15 +131,15 @@
 	if len(text) > limit {
 		return failed(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, "reply is too large", nil)
 	}
-	var reply yuccahinge.ChargeReply
-	if err := json.Unmarshal(text, &reply); err != nil {
-		return failed(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, "reply is not a charge reply", err)
-	}
-	return judge(id, call, resp.StatusCode, &reply)
+	return classify(id, call, resp.StatusCode, text)
 }
 
-// judge classes a reply that was read whole.
-func judge(id yuccahinge.SearcherID, call *yuccahinge.ChargeCall, status int, reply *yuccahinge.ChargeReply) yuccahinge.ChargeResult {
+// classify classes a reply that was read whole.
+func classify(id yuccahinge.SearcherID, call *yuccahinge.ChargeCall, status int, text []byte) yuccahinge.ChargeResult {
+	reply := new(yuccahinge.ChargeReply)
+	if err := json.Unmarshal(text, reply); err != nil {
+		return failed(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, "reply is not a charge reply", err)
+	}
 	if reply.RequestID != call.RequestID || reply.Claim != call.Claim {
 		return failed(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, "reply belongs to another charge", nil)
 	}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -202,3 +202,19 @@
 		})
 	}
 }
+
+func FuzzClassify(f *testing.F) {
+	f.Add(200, `{"requestId":"r1","claim":"c1","outcome":"ran","result":{"n":1}}`)
+	f.Add(503, `{"requestId":"r1","claim":"c1","outcome":"notRun","reason":"shed"}`)
+	f.Add(200, `{"requestId":"r1","claim":"c2","outcome":"notRun"}`)
+	f.Add(500, `[]`)
+	f.Fuzz(func(t *testing.T, status int, text string) {
+		r := classify("s1", call(), status, []byte(text))
+		if r.Outcome == yuccahinge.Unknown {
+			return
+		}
+		if r.Reply.RequestID != "r1" || r.Reply.Claim != "c1" || r.Reply.Outcome != r.Outcome {
+			t.Fatalf("status %d with %q is taken for %s", status, text, r.Outcome)
+		}
+	})
+}
