--- a/bench/scene/report.go
+++ b/bench/scene/report.go
@@ -77,6 +77,7 @@
 			fanOut:  w.Plan.FanOut,
 		},
 	}
+	r.moveInFlight()
 	for i := range phases {
 		if i > 0 {
 			r.Rows = append(r.Rows, r.row(i, marks[i], marks[i+1]))
@@ -91,6 +92,20 @@
 	return r
 }
 
+// moveInFlight counts the searches that were in flight when the fault began as searches under the fault.
+func (r *Report) moveInFlight() {
+	for i := range r.samples {
+		s := &r.samples[i]
+		if r.phases[s.Phase].Name != phaseBefore {
+			continue
+		}
+		end := startOf(r.phases, phaseBefore) + seconds(r.phases[s.Phase].Seconds)
+		if s.At+s.Latency.Duration() > end {
+			s.Phase++
+		}
+	}
+}
+
 func (r *Report) row(i int, from, to mark) Row {
 	p := r.phases[i]
 	figures := r.Select(func(s *drive.Sample) bool { return s.Phase == i && !s.Marked })
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -27,8 +27,8 @@
 	Marked func(phases []drive.Phase) []drive.Marked
 	// Judge compares the shipped side with the targets; it may be nil.
 	Judge func(r *Result) []Target
-	// Sides replaces the sides of the run; it may be nil.
-	Sides func(sides []Side) []Side
+	// Sides are the variants that the run compares in place of the baseline and the shipped side.
+	Sides []string
 }
 
 // Step is a fault at its time.
@@ -108,5 +108,9 @@
 		}
 		sum += p.Seconds
 	}
-	return time.Duration(sum * float64(time.Second))
+	return seconds(sum)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
 }
--- /dev/null
+++ b/bench/scene/variant.go
@@ -0,0 +1,81 @@
+package scene
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/tier"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// variant is the shipped policy with one change.
+type variant struct {
+	name  string
+	adapt func(t *tier.Tier)
+	plan  func(p *fleet.Plan)
+}
+
+func variants() []variant {
+	return []variant{
+		{name: "noHedge", adapt: func(t *tier.Tier) { t.Engine.Hedger = nil }},
+		{name: "noRetry", adapt: func(t *tier.Tier) { t.Engine.RetryBudget = none{} }},
+		{name: "noLimit", adapt: func(t *tier.Tier) { t.Engine.Limiter = nil }},
+		{name: "noPoison", adapt: func(t *tier.Tier) { t.Engine.Poison = nil }},
+		{name: "noReady", adapt: func(t *tier.Tier) { t.Engine.Ready = nil }},
+		{name: "canary", adapt: func(t *tier.Tier) { t.Engine.Canary = true }},
+		{name: "cancel", adapt: func(t *tier.Tier) { t.Engine.CancelHTTP1 = true }},
+		{name: "leave", adapt: func(t *tier.Tier) { t.Engine.CancelHTTP1 = false }},
+		{name: "h2c", plan: func(p *fleet.Plan) { p.Protocol = yuccahinge.H2C }},
+		{name: "http1", plan: func(p *fleet.Plan) { p.Protocol = yuccahinge.HTTP1 }},
+	}
+}
+
+// none is a budget that grants nothing.
+type none struct{}
+
+// Earn implements yuccahinge.Budget.
+func (none) Earn(int) {}
+
+// Take implements yuccahinge.Budget.
+func (none) Take() bool { return false }
+
+// VariantNames returns the names that Variant takes.
+func VariantNames() []string {
+	var out []string
+	for _, v := range variants() {
+		out = append(out, v.name)
+	}
+	return out
+}
+
+// Variant returns the shipped side with the changes whose names are joined by a plus sign.
+func Variant(names string) (Side, bool) {
+	var adapts []func(t *tier.Tier)
+	var plans []func(p *fleet.Plan)
+	all := variants()
+	for name := range strings.SplitSeq(names, "+") {
+		i := slices.IndexFunc(all, func(v variant) bool { return v.name == name })
+		if i < 0 {
+			return Side{}, false
+		}
+		if all[i].adapt != nil {
+			adapts = append(adapts, all[i].adapt)
+		}
+		if all[i].plan != nil {
+			plans = append(plans, all[i].plan)
+		}
+	}
+	side := Shipped(names, joined(adapts))
+	side.Adapt = joined(plans)
+	return side, true
+}
+
+func joined[T any](changes []func(*T)) func(*T) {
+	return func(v *T) {
+		for _, change := range changes {
+			change(v)
+		}
+	}
+}
--- a/cmd/bench/sides.go
+++ b/cmd/bench/sides.go
@@ -1,14 +1,48 @@
 package main
 
 import (
+	"fmt"
+
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/bench/fleet"
 	"github.com/yuccahinge/yuccahinge/bench/scene"
 )
 
+// The names of the two usual sides.
+const (
+	sideBaseline = "baseline"
+	sideShipped  = "shipped"
+)
+
 // sides returns what a run compares; targets are for the last.
-func sides(connections int) []scene.Side {
-	return []scene.Side{scene.Baseline(connections), scene.Shipped("shipped", nil)}
+func sides(o *options, s *scene.Scene, connections int) ([]scene.Side, error) {
+	names := []string{sideBaseline, sideShipped}
+	if len(s.Sides) > 0 {
+		names = s.Sides
+	}
+	if len(o.sides) > 0 {
+		names = o.sides
+	}
+	var out []scene.Side
+	for _, name := range names {
+		side, ok := findSide(name, connections)
+		if !ok {
+			return nil, fmt.Errorf("no side is named %q", name)
+		}
+		out = append(out, side)
+	}
+	return out, nil
+}
+
+func findSide(name string, connections int) (scene.Side, bool) {
+	switch name {
+	case sideBaseline:
+		return scene.Baseline(connections), true
+	case sideShipped:
+		return scene.Shipped(sideShipped, nil), true
+	default:
+		return scene.Variant(name)
+	}
 }
 
 func setMedian(p *fleet.Plan, ms float64) {
