Land the thin whole path: every process, the command line and the demo

Cause: the path needs all parts in separate processes early. Change: node wires keeper, tier, desk, front and operators' port; commands ticket, status, timeline, serve, settings; opctl judges what hosts confirm; demo.sh.

--- a/bench/scene/variant.go
+++ b/bench/scene/variant.go
@@ -25,8 +25,8 @@
 		{name: "noPoison", adapt: func(t *tier.Tier) { t.Engine.Poison = nil }},
 		{name: "noReady", adapt: func(t *tier.Tier) { t.Engine.Ready = nil }},
 		{name: "canary", adapt: func(t *tier.Tier) { t.Engine.Canary = true }},
-		{name: "cancel", adapt: func(t *tier.Tier) { t.Engine.CancelHTTP1 = true }},
-		{name: "leave", adapt: func(t *tier.Tier) { t.Engine.CancelHTTP1 = false }},
+		{name: "cancel", adapt: func(t *tier.Tier) { t.Engine.FinishHTTP1 = false }},
+		{name: "leave", adapt: func(t *tier.Tier) { t.Engine.FinishHTTP1 = true }},
 		{name: "h2c", plan: func(p *fleet.Plan) { p.Protocol = yuccahinge.H2C }},
 		{name: "http1", plan: func(p *fleet.Plan) { p.Protocol = yuccahinge.HTTP1 }},
 	}
--- a/cmd/yuccahinge/targets.go
+++ b/cmd/yuccahinge/targets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 
 	"github.com/integrii/flaggy"
@@ -24,12 +25,17 @@
 	s.String(&t.platform, "", "platform", "base URL of the platform, whose membership list names the hosts")
 }
 
-func (t *targets) resolve(ctx context.Context) ([]string, error) {
-	if t.hosts != "" {
-		return strings.Split(t.hosts, ","), nil
+func (t *targets) check() error {
+	if t.hosts == "" && t.platform == "" {
+		return errTargetsMissing
 	}
-	if t.platform == "" {
-		return nil, errTargetsMissing
+	return nil
+}
+
+// members returns the entry hosts to ask. Hosts that were named by their addresses have no id until they answer.
+func (t *targets) members(ctx context.Context) ([]yuccahinge.Member, error) {
+	if t.hosts != "" {
+		return t.named(), nil
 	}
 	var list struct {
 		Members []yuccahinge.Member `json:"members"`
@@ -38,11 +44,15 @@
 	if _, err := client.Get(ctx, t.platform+"/v1/members", &list); err != nil {
 		return nil, err
 	}
-	var out []string
-	for _, m := range list.Members {
-		if m.Role == yuccahinge.RoleEntry && m.AdminAddr != "" {
-			out = append(out, m.AdminAddr)
-		}
+	return slices.DeleteFunc(list.Members, func(m yuccahinge.Member) bool {
+		return m.Role != yuccahinge.RoleEntry || m.AdminAddr == ""
+	}), nil
+}
+
+func (t *targets) named() []yuccahinge.Member {
+	var out []yuccahinge.Member
+	for addr := range strings.SplitSeq(t.hosts, ",") {
+		out = append(out, yuccahinge.Member{Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive, AdminAddr: addr})
 	}
-	return out, nil
+	return out
 }
--- a/cmd/yuccahinge/timeline.go
+++ b/cmd/yuccahinge/timeline.go
@@ -49,14 +49,17 @@
 func (c *timelineCommand) used() bool { return c.sub.Used }
 
 func (c *timelineCommand) run(ctx context.Context) int {
-	addrs, err := c.targets.resolve(ctx)
-	if err != nil {
+	if err := c.targets.check(); err != nil {
 		return fail(exitUsage, err)
 	}
-	res := c.collect(ctx, addrs)
+	members, err := c.targets.members(ctx)
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	res := c.collect(ctx, members)
 	c.print(res)
 	switch {
-	case len(res.Unreachable) == len(addrs):
+	case len(res.Unreachable) == len(members):
 		return exitFailed
 	case len(res.Unreachable) > 0:
 		return exitUnknown
@@ -64,19 +67,19 @@
 	return exitDone
 }
 
-func (c *timelineCommand) collect(ctx context.Context, addrs []string) timelineResult {
+func (c *timelineCommand) collect(ctx context.Context, members []yuccahinge.Member) timelineResult {
 	var mu sync.Mutex
 	var rings [][]yuccahinge.Event
 	res := timelineResult{Unreachable: []string{}}
 	var g errgroup.Group
 	g.SetLimit(fetchesAtOnce)
-	for _, addr := range addrs {
+	for _, m := range members {
 		g.Go(func() error {
-			ring, err := ringOf(ctx, addr)
+			ring, err := ringOf(ctx, m.AdminAddr)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				res.Unreachable = append(res.Unreachable, addr)
+				res.Unreachable = append(res.Unreachable, m.AdminAddr)
 				return nil
 			}
 			rings = append(rings, ring)
--- a/confirm.go
+++ b/confirm.go
@@ -7,9 +7,12 @@
 	// Number is the ticket that was asked for.
 	Number  TicketNumber `json:"number"`
 	InForce bool         `json:"inForce"`
-	// Head and Digest name the state in force on the host.
-	Head   TicketNumber `json:"head"`
-	Digest Digest       `json:"digest"`
-	// Conflict tells that the host has seen two tickets of this number.
+	// Digest is that of the state at Number. It is empty when that is not in force, or when the host took a
+	// whole state above it and never saw it.
+	Digest Digest `json:"digest"`
+	// Head and HeadDigest name the state in force on the host.
+	Head       TicketNumber `json:"head"`
+	HeadDigest Digest       `json:"headDigest"`
+	// Conflict tells that the host knows of another digest for the number in force.
 	Conflict bool `json:"conflict,omitempty"`
 }
--- a/demo.sh
+++ b/demo.sh
@@ -138,7 +138,7 @@
 
 say "a search with searcher s0 frozen"
 kill -STOP "${pid_of[s0]}"
-out=$("$dir/yuccahinge" search --host "$(caller_addr 1)" --service trainer-search --query broth --requestId demo-frozen)
+out=$("$dir/yuccahinge" search --host "$(caller_addr 0)" --service trainer-search --query broth --requestId demo-frozen)
 echo "$out"
 grep -q "coverage $SHARDS/$SHARDS\|lacking shard 0" <<<"$out" || die "the answer is silent about the frozen searcher's shard"
 kill -CONT "${pid_of[s0]}"
--- a/node/serve.go
+++ b/node/serve.go
@@ -11,7 +11,6 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
-	"github.com/yuccahinge/yuccahinge/probe"
 )
 
 const (
@@ -26,41 +25,19 @@
 // serve starts every part. They end with ctx.
 func (n *Node) serve(ctx context.Context, g *errgroup.Group) {
 	p := &n.parts
-	probe := probe.Probe{
-		States: &p.keeper,
-		Loader: &p.searchers,
-		Heard:  n.heard,
-		Urgent: p.ready.Unknown,
-		Round:  n.countHosts,
-		Clock:  n.clock,
-	}
 	g.Go(func() error { return p.peers.Serve(ctx, n.ports.peers) })
 	g.Go(func() error { return p.keeper.Run(ctx) })
-	g.Go(func() error { return probe.Run(ctx) })
+	g.Go(func() error { return p.tier.Run(ctx) })
 	g.Go(func() error { return serveHTTP(ctx, p.callers, n.ports.callers) })
 	g.Go(func() error { return serveHTTP(ctx, p.operators, n.ports.operators) })
 	g.Go(func() error { return n.tellReadiness(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
-		p.searchers.Close()
 		return nil
 	})
 }
 
-// heard takes a searcher's report that came outside of queries.
-func (n *Node) heard(id yuccahinge.SearcherID, r *yuccahinge.LoadReport) {
-	p := &n.parts
-	p.route.Report(n.clock.Now(), id, r)
-	p.keeper.Living(id, r.Incarnation)
-	p.engine.Report(id, r)
-}
-
-// countHosts tells the share how many hosts may hold connections to searchers.
-func (n *Node) countHosts() {
-	n.parts.share.Observe(n.clock.Now(), len(n.parts.keeper.Roster().Members()))
-}
-
 // serveHTTP serves until ctx ends. A server that was shut down before waits for ctx too.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
--- a/node/status.go
+++ b/node/status.go
@@ -39,7 +39,7 @@
 
 func (n *Node) confirm(number yuccahinge.TicketNumber) yuccahinge.Confirmation {
 	head, digest, inForce := n.parts.keeper.Confirm(number)
-	return yuccahinge.Confirmation{
+	c := yuccahinge.Confirmation{
 		Host:     n.Settings.Host,
 		Domain:   n.self.Domain,
 		Number:   number,
@@ -48,6 +48,10 @@
 		Digest:   digest,
 		Conflict: n.parts.keeper.Conflicted(),
 	}
+	if state, _ := n.parts.keeper.State(); state != nil && state.Ticket == head {
+		c.HeadDigest = state.Digest
+	}
+	return c
 }
 
 // gauges registers what the metrics read from the parts.
--- a/node/wire.go
+++ b/node/wire.go
@@ -67,44 +67,26 @@
 	k.Seed = n.seed()
 	k.PauseMs = n.Settings.Limits.PauseMs
 	k.Register(p.peers.Handle)
-	k.Subscribe(p.engine.Hear)
+	k.Subscribe(p.tier.Engine.Hear)
 }
 
 func (n *Node) wireSearch() {
-	p := &n.parts
-	p.route.Domain = n.self.Domain
-	p.route.Seed = n.seed()
-	p.route.Draining = p.draining
-	p.route.Holds = p.ready.Holds
-	p.retries.Share = retryShare
-	p.hedges.Share = hedgeShare
-	p.searchers.Limit = n.connections
-	p.searchers.MaxReply = n.Settings.Limits.ReplyBytes
-	p.searchers.Clock = n.clock
-	e := &p.engine
-	e.States = &p.keeper
-	e.Caller = &p.searchers
-	e.Picker = &p.route
-	e.Observer = &p.route
-	e.Hedger = &p.hedge
-	e.Learner = &p.hedge
-	e.RetryBudget = &p.retries
-	e.HedgeBudget = &p.hedges
-	e.Limiter = &p.limit
-	e.Poison = &p.poison
-	e.Ready = &p.ready
-	e.Leave = &p.leave
-	e.Gossip = &p.keeper
-	e.Clock = n.clock
-	e.Recorder = &n.events
-	e.CatchUp = p.keeper.CatchUp
-	e.Fresh = p.keeper.Fresh
-	e.MaxDeadlineMs = n.Settings.Limits.MaxDeadlineMs
-}
-
-// connections returns this host's share of a searcher's connections.
-func (n *Node) connections(_ yuccahinge.SearcherID, s *yuccahinge.Searcher) int {
-	return n.parts.share.Limit(n.clock.Now(), s.Connections)
+	t := &n.parts.tier
+	k := &n.parts.keeper
+	t.Domain = n.self.Domain
+	t.Seed = n.seed()
+	t.Hosts = func() int { return len(k.Roster().Members()) }
+	t.Draining = k.Draining
+	t.Heard = func(id yuccahinge.SearcherID, r *yuccahinge.LoadReport) { k.Living(id, r.Incarnation) }
+	t.Searchers.MaxReply = n.Settings.Limits.ReplyBytes
+	t.Engine.States = k
+	t.Engine.Gossip = k
+	t.Engine.Clock = n.clock
+	t.Engine.Recorder = &n.events
+	t.Engine.CatchUp = k.CatchUp
+	t.Engine.Fresh = k.Fresh
+	t.Engine.MaxDeadlineMs = n.Settings.Limits.MaxDeadlineMs
+	t.Wire()
 }
 
 func (n *Node) wireCharges() {
@@ -115,8 +97,8 @@
 	d.Roster = p.keeper.Roster()
 	d.Peers = &p.pool
 	d.Caller = &p.once
-	d.Picker = &p.route
-	d.Observer = &p.route
+	d.Picker = &p.tier.Route
+	d.Observer = &p.tier.Route
 	d.Clock = n.clock
 	d.Recorder = &n.events
 	d.Register(p.peers.Handle)
@@ -125,7 +107,7 @@
 func (n *Node) wireFront() {
 	p := &n.parts
 	l := n.Settings.Limits
-	p.front.Searcher = &p.engine
+	p.front.Searcher = &p.tier.Engine
 	p.front.Charger = &p.desk
 	p.front.Ready = n.ready
 	p.front.MaxBodyBytes = l.RequestBytes
--- /dev/null
+++ b/notice/book_test.go
@@ -0,0 +1,44 @@
+package notice
+
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func TestBookKeepsEachNoticeOnce(t *testing.T) {
+	var b Book
+	n := yuccahinge.Notice{Kind: yuccahinge.NoticeDraining, Key: "s1", Incarnation: "x", TTLMs: 1000}
+	if !b.Add(0, n) || b.Add(500, n) {
+		t.Fatal("the notice is not new exactly once")
+	}
+	if got := b.All(1400); len(got) != 1 || got[0].TTLMs != 100 {
+		t.Fatalf("notices are %v", got)
+	}
+	if b.Tick(1400) || !b.Tick(1500) {
+		t.Fatal("the notice did not end at its time")
+	}
+	for _, bad := range []yuccahinge.Notice{{}, {Kind: "other", Key: "k", TTLMs: 1}, {Kind: n.Kind, TTLMs: 1}} {
+		if b.Add(0, bad) {
+			t.Fatalf("%v was taken", bad)
+		}
+	}
+}
+
+func TestDeltaSharesTheRides(t *testing.T) {
+	b := Book{Sends: 2}
+	for _, key := range []string{"s1", "s2", "s3"} {
+		b.Add(0, yuccahinge.Notice{Kind: yuccahinge.NoticeDraining, Key: key, TTLMs: 1000})
+	}
+	rides := make(map[string]int)
+	for range 4 {
+		for _, n := range b.Delta(1, 2) {
+			rides[n.Key]++
+		}
+	}
+	for key, n := range rides {
+		if n != 2 {
+			t.Fatalf("%s rode %d times, want 2", key, n)
+		}
+	}
+}
--- a/spread/push.go
+++ b/spread/push.go
@@ -116,3 +116,16 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// Best returns the member with the highest number heard of, and that number.
+func (s *Spread) Best() (yuccahinge.HostID, yuccahinge.TicketNumber) {
+	var best yuccahinge.HostID
+	var number yuccahinge.TicketNumber
+	for _, m := range s.members {
+		id := yuccahinge.HostID(m.ID)
+		if n := s.known[id]; id != s.Self && n > number {
+			best, number = id, n
+		}
+	}
+	return best, number
+}
--- a/spread/read.go
+++ b/spread/read.go
@@ -193,13 +193,17 @@
 	return append(out, s.readOn(now, s.head)...)
 }
 
-// TicketFailed takes that a ticket could not be read or decoded; missing says that the platform lacks it.
-func (s *Spread) TicketFailed(now yuccahinge.Millis, n yuccahinge.TicketNumber, reason string) []Decision {
+// TicketFailed takes that the platform lacks a ticket that its head covers, or that it could not be decoded.
+func (s *Spread) TicketFailed(now yuccahinge.Millis, n yuccahinge.TicketNumber, missing bool, reason string) []Decision {
 	if n <= s.Number() {
 		return nil
 	}
-	s.block(now, s.head, blockFor)
-	return []Decision{{Kind: Gap, Number: n, Reason: reason}, {Kind: ReadState, Number: s.head}}
+	kind, span := Refused, refuseFor
+	if missing {
+		kind, span = Gap, blockFor
+	}
+	s.block(now, s.head, span)
+	return []Decision{{Kind: kind, Number: n, Reason: reason}, {Kind: ReadState, Number: s.head}}
 }
 
 // StateRead takes a whole state that this host read from the platform.
--- a/tier/tier.go
+++ b/tier/tier.go
@@ -23,8 +23,6 @@
 	retryShare = 0.1
 	// hedgeShare is the number of hedges that one first attempt earns.
 	hedgeShare = 0.05
-	// drainingTTL is how long a notice of a leaving searcher stands.
-	drainingTTL = 60 * yuccahinge.Second
 )
 
 // Tier is the search side of an entry host. Set the fields of Engine that depend on the host (States,
@@ -112,17 +110,8 @@
 // heard takes a searcher's report that came outside of queries.
 func (t *Tier) heard(id yuccahinge.SearcherID, r *yuccahinge.LoadReport) {
 	t.Route.Report(t.Engine.Clock.Now(), id, r)
-	t.Ready.Observe(id, r)
 	if t.Heard != nil {
 		t.Heard(id, r)
 	}
-	if !t.Leave.See(id, r) || t.Engine.Gossip == nil {
-		return
-	}
-	t.Engine.Gossip.Tell(yuccahinge.Notice{
-		Kind:        yuccahinge.NoticeDraining,
-		Key:         string(id),
-		Incarnation: r.Incarnation,
-		TTLMs:       drainingTTL,
-	})
+	t.Engine.Report(id, r)
 }
