--- a/admin/port.go
+++ b/admin/port.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -34,6 +35,8 @@
 	mux.HandleFunc("GET /v1/state", p.state)
 	mux.HandleFunc("GET /v1/events", p.events)
 	mux.Handle("GET /metrics", p.Metrics)
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	return mux
 }
 
--- a/cmd/yuccahinge/main.go
+++ b/cmd/yuccahinge/main.go
@@ -44,6 +44,7 @@
 		&ticketCommand{},
 		&statusCommand{},
 		&timelineCommand{},
+		&metricsCommand{},
 		&versionCommand{},
 	}
 	for _, c := range commands {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.opentelemetry.io/otel/attribute"
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
@@ -28,6 +29,10 @@
 // Start creates the instruments.
 func (m *Meter) Start() error {
 	m.registry = prometheus.NewRegistry()
+	m.registry.MustRegister(
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector(),
+	)
 	exp, err := exporter.New(exporter.WithRegisterer(m.registry), exporter.WithoutScopeInfo())
 	if err != nil {
 		return err
