--- a/keeper/join.go
+++ b/keeper/join.go
@@ -140,25 +140,25 @@
 	catchUpPause = yuccahinge.Millis(25)
 )
 
-// CatchUp returns when a ticket of at least min is in force, or with an error when the context ends first.
-func (k *Keeper) CatchUp(ctx context.Context, min yuccahinge.TicketNumber) error {
+// CatchUp returns when a ticket of at least the number is in force, or with an error when the context ends first.
+func (k *Keeper) CatchUp(ctx context.Context, least yuccahinge.TicketNumber) error {
 	for {
-		if s := k.state.Load(); s != nil && s.Ticket >= min {
+		if s := k.state.Load(); s != nil && s.Ticket >= least {
 			return nil
 		}
 		if ctx.Err() != nil {
 			return &yuccahinge.Error{
 				Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPin,
-				Message: fmt.Sprintf("ticket %d is not in force here", min), Err: ctx.Err(),
+				Message: fmt.Sprintf("ticket %d is not in force here", least), Err: ctx.Err(),
 			}
 		}
-		k.catchUpOnce(ctx, min)
+		k.catchUpOnce(ctx, least)
 		pause(ctx, catchUpPause)
 	}
 }
 
 // catchUpOnce asks peers and then the platform. One caller does so for all that wait.
-func (k *Keeper) catchUpOnce(ctx context.Context, min yuccahinge.TicketNumber) {
+func (k *Keeper) catchUpOnce(ctx context.Context, least yuccahinge.TicketNumber) {
 	if !k.catching.TryLock() {
 		return
 	}
@@ -166,14 +166,14 @@
 	k.mu.Lock()
 	k.begin()
 	peers := k.some(catchUpPeers)
-	if id, n := k.spread.Best(); n >= min {
+	if id, n := k.spread.Best(); n >= least {
 		if m, ok := k.roster.Find(id); ok {
 			peers = []yuccahinge.Member{m}
 		}
 	}
 	k.mu.Unlock()
 	k.askAll(ctx, peers)
-	if k.spreadNumber() < min {
+	if k.spreadNumber() < least {
 		_ = k.readHead(ctx, 0, 0)
 	}
 }
