Spread under faults: hosts that only one side can call, and blind hosts

Found: with the platform readable by one host that is not elected, a ticket took 8.6 s, since the host waited 5 to 6.5 s before it read for itself.

--- a/spread/read.go
+++ b/spread/read.go
@@ -15,10 +15,11 @@
 const Readers = 2
 
 const (
-	// quietBase is how long no read may be heard of in a domain of one host before it reads for itself.
+	// quietBase is how long no read may be heard of before a host reads for itself, beside the time that word of
+	// a read takes to come round.
 	quietBase = 2 * yuccahinge.Second
 	// quietJitter spreads the hosts that start to read for themselves.
-	quietJitter = 1.5 * yuccahinge.Second
+	quietJitter = 1 * yuccahinge.Second
 )
 
 // reads keeps what is known of successful reads of the platform.
@@ -130,13 +131,14 @@
 	return s.reads.acting
 }
 
-// quiet is how long word of a read may take to reach every host of the domain.
+// quiet is how long word of a read may take to reach the hosts of the domain: exchanges go both ways, so the
+// hosts that have heard it more than double in a period.
 func (s *Spread) quiet() yuccahinge.Millis {
 	period := s.PeriodMs
 	if period <= 0 {
 		period = DefaultPeriod
 	}
-	return quietBase + period*yuccahinge.Millis(bits.Len(uint(len(s.idsOf(s.Domain)))))
+	return quietBase + period/2*yuccahinge.Millis(bits.Len(uint(len(s.idsOf(s.Domain)))))
 }
 
 // Age returns the time since the state in force was last known to be the newest, or false when it never was.
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/roster"
 	"github.com/yuccahinge/yuccahinge/ticket"
 )
 
@@ -22,10 +23,32 @@
 // replica is a copy of the platform: a chain of tickets and the whole state after them.
 type replica struct {
 	tickets []*yuccahinge.Ticket
-	state   *yuccahinge.State
+	states  []*yuccahinge.State
 	// hidden is how many of the newest tickets this copy does not show yet.
 	hidden int
 	down   bool
+	// torn says that the head is shown before its ticket and state.
+	torn bool
+}
+
+// shown returns the highest number that this copy has a ticket and a state for.
+func (r *replica) shown() yuccahinge.TicketNumber {
+	if r.torn {
+		return max(1, r.head()) - 1
+	}
+	return r.head()
+}
+
+// state returns the whole state that this copy shows.
+func (r *replica) state(n yuccahinge.TicketNumber) *yuccahinge.State {
+	if n == 0 {
+		return nil
+	}
+	return r.states[n-1]
+}
+
+func (r *replica) copyOf(o *replica) {
+	r.tickets, r.states = slices.Clone(o.tickets), slices.Clone(o.states)
 }
 
 func (r *replica) head() yuccahinge.TicketNumber {
@@ -43,12 +66,12 @@
 // simHost is one host of the simulation.
 type simHost struct {
 	spread   *Spread
+	roster   *roster.Roster
 	next     yuccahinge.Millis
 	nextRead yuccahinge.Millis
 	asleep   yuccahinge.Millis
 	highest  yuccahinge.TicketNumber
 	domain   int
-	rounds   int
 }
 
 // sim runs hosts over a network and a platform that fail.
@@ -63,21 +86,26 @@
 	loss     float64
 	double   float64
 	cut      func(from, to int) bool
+	// refuse tells which hosts can not open an exchange with which, though replies pass.
+	refuse func(from, to int) bool
+	// blind hosts can not reach the platform.
+	blind map[int]bool
 	// digests are those that a fold of published tickets can give, by number.
 	digests map[yuccahinge.Digest]bool
 	raced   bool
-	reads   int
 }
 
 func newSim(t *rapid.T, domains, each int, seed uint64) *sim {
-	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), digests: map[yuccahinge.Digest]bool{"": true}}
+	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), digests: map[yuccahinge.Digest]bool{"": true}, blind: map[int]bool{}}
 	for i := range domains * each {
 		m := yuccahinge.Member{
 			ID: fmt.Sprintf("h%02d", i), Domain: yuccahinge.DomainID(fmt.Sprint("d", i%domains)),
-			Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive,
+			Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive, PeerAddr: "127.0.0.1:1",
 		}
 		s.members = append(s.members, m)
 		s.hosts = append(s.hosts, &simHost{domain: i % domains})
+	}
+	for i := range s.hosts {
 		s.restart(i)
 	}
 	return s
@@ -91,6 +119,8 @@
 		next:   s.now + yuccahinge.Millis(s.rand.Float64())*DefaultPeriod, domain: s.hosts[i].domain,
 	}
 	s.hosts[i].spread.Tick(s.now, s.members)
+	s.hosts[i].roster = &roster.Roster{Self: m, Seed: s.rand.Uint64()}
+	s.hosts[i].roster.Listed(s.now, s.members)
 }
 
 // publish adds a ticket to both copies, and with race another one of the same number to the second.
@@ -98,7 +128,7 @@
 	a, b := &s.replicas[0], &s.replicas[1]
 	if !race && len(b.tickets) > 0 {
 		// The platform settles a race before it takes the next ticket.
-		b.tickets, b.state = slices.Clone(a.tickets), a.state
+		b.copyOf(a)
 	}
 	s.append(a, s.newTicket(len(a.tickets)+1))
 	if race {
@@ -106,25 +136,27 @@
 		s.append(b, s.newTicket(len(b.tickets)+1))
 		return
 	}
-	b.tickets, b.state = slices.Clone(a.tickets), a.state
+	b.copyOf(a)
 	s.noteFolds(a.tickets[len(a.tickets)-1])
 }
 
 func (s *sim) newTicket(n int) *yuccahinge.Ticket {
 	day := time.Unix(0, 0).UTC().AddDate(0, 0, s.rand.IntN(1<<20)).Format(time.DateOnly)
+	name := yuccahinge.CalendarName(fmt.Sprint("c", s.rand.IntN(5)))
 	return &yuccahinge.Ticket{
 		Number:    yuccahinge.TicketNumber(n),
-		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{"et": {Holidays: []string{day}}},
+		// Tickets that touch different keys keep the two sides of a race apart.
+		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{name: {Holidays: []string{day}}},
 	}
 }
 
 func (s *sim) append(r *replica, t *yuccahinge.Ticket) {
-	next, err := ticket.Fold(r.state, t)
+	next, err := ticket.Fold(r.state(yuccahinge.TicketNumber(len(r.states))), t)
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	r.tickets = append(r.tickets, t)
-	r.state = next
+	r.states = append(r.states, next)
 	s.digests[next.Digest] = true
 	s.noteFolds(t)
 }
@@ -153,11 +185,9 @@
 func (s *sim) step(i int, h *simHost) {
 	if s.now >= h.next {
 		h.next = s.now + DefaultPeriod
-		h.rounds++
 		h.spread.Tick(s.now, s.members)
-		s.send(i, s.peer(i, true), nil)
-		if h.rounds%3 == 0 {
-			s.send(i, s.peer(i, false), nil)
+		for _, m := range h.roster.Next(s.now) {
+			s.send(i, s.index(m.ID), nil)
 		}
 	}
 	if s.now >= h.nextRead && h.spread.Reads(s.now) {
@@ -165,38 +195,23 @@
 	}
 }
 
-// peer returns a random host of the own or of another domain.
-func (s *sim) peer(i int, near bool) int {
-	var fits []int
-	for j, h := range s.hosts {
-		if j != i && (h.domain == s.hosts[i].domain) == near {
-			fits = append(fits, j)
-		}
-	}
-	if len(fits) == 0 {
-		return i
-	}
-	return fits[s.rand.IntN(len(fits))]
-}
-
 func (s *sim) read(i int, h *simHost) {
 	h.nextRead = s.now + DefaultPeriod
 	r := &s.replicas[h.domain%2]
-	if r.down {
+	if r.down || s.blind[i] {
 		return
 	}
-	s.reads++
 	todo := h.spread.HeadRead(s.now, r.head())
 	for len(todo) > 0 {
 		d := todo[0]
 		todo = todo[1:]
 		switch {
-		case d.Kind == ReadTicket && d.Number <= r.head():
+		case d.Kind == ReadTicket && d.Number <= r.shown():
 			todo = append(todo, h.spread.TicketRead(s.now, r.tickets[d.Number-1])...)
 		case d.Kind == ReadTicket:
 			todo = append(todo, h.spread.TicketFailed(s.now, d.Number, true, "missing")...)
-		case d.Kind == ReadState && r.hidden == 0 && r.state != nil:
-			todo = append(todo, h.spread.StateRead(s.now, r.state)...)
+		case d.Kind == ReadState && r.shown() > 0:
+			todo = append(todo, h.spread.StateRead(s.now, r.state(r.shown()))...)
 		case d.Kind != ReadState:
 			s.do(i, []Decision{d})
 		}
@@ -210,12 +225,15 @@
 			s.t.Fatalf("%s refused ticket %d: %s", s.members[i].ID, d.Number, d.Reason)
 		}
 		if d.Kind == Exchange || d.Kind == Deliver {
-			to := slices.IndexFunc(s.members, func(m yuccahinge.Member) bool { return m.ID == string(d.Peer) })
-			s.send(i, to, d.Parcel)
+			s.send(i, s.index(string(d.Peer)), d.Parcel)
 		}
 	}
 }
 
+func (s *sim) index(id string) int {
+	return slices.IndexFunc(s.members, func(m yuccahinge.Member) bool { return m.ID == id })
+}
+
 func (s *sim) send(from, to int, p *Parcel) {
 	if from == to || to < 0 {
 		return
@@ -230,6 +248,9 @@
 	if s.rand.Float64() < s.double {
 		copies = 2
 	}
+	if m.reply == nil && s.refuse != nil && s.refuse(m.from, m.to) {
+		return
+	}
 	if s.rand.Float64() < s.loss || (s.cut != nil && s.cut(m.from, m.to)) {
 		copies = 0
 	}
@@ -279,10 +300,10 @@
 // newest returns the highest number in force on a host that is awake or readable by one.
 func (s *sim) newest() yuccahinge.TicketNumber {
 	var n yuccahinge.TicketNumber
-	for _, h := range s.hosts {
+	for i, h := range s.hosts {
 		n = max(n, h.spread.Number())
-		if r := &s.replicas[h.domain%2]; !r.down {
-			n = max(n, r.head())
+		if r := &s.replicas[h.domain%2]; !r.down && !s.blind[i] {
+			n = max(n, r.shown())
 		}
 	}
 	return n
@@ -304,7 +325,17 @@
 	}
 }
 
-// heal ends every fault of the network.
+// mustKnowConflicts asks that hosts which hold different states of one number know it.
+func (s *sim) mustKnowConflicts() {
+	for i, h := range s.hosts {
+		if h.spread.digest() != s.hosts[0].spread.digest() && h.spread.Number() == s.hosts[0].spread.Number() && !h.spread.Conflicted() {
+			s.t.Fatalf("at %v %s does not know that its ticket %d is in conflict", s.now, s.members[i].ID, h.spread.Number())
+		}
+	}
+}
+
+// heal ends every fault of the network, but leaves hosts that can open no exchange or can not be reached by
+// one, and hosts without the platform.
 func (s *sim) heal() {
 	s.loss, s.double, s.cut = 0, 0, nil
 	for _, h := range s.hosts {
@@ -337,6 +368,18 @@
 				return out || (in && !oneWay)
 			}
 		},
+		"refuseHost": func(t *rapid.T) {
+			lone := host.Draw(t, "host")
+			in := rapid.Bool().Draw(t, "in")
+			s.refuse = func(from, to int) bool { return (in && to == lone) || (!in && from == lone) }
+		},
+		"blindHosts": func(t *rapid.T) {
+			seeing := host.Draw(t, "seeing")
+			for i := range s.hosts {
+				s.blind[i] = i != seeing
+			}
+		},
+		"torn":     func(t *rapid.T) { s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].torn = rapid.Bool().Draw(t, "torn") },
 		"heal":     func(*rapid.T) { s.heal() },
 		"restart":  func(t *rapid.T) { s.restart(host.Draw(t, "host")) },
 		"sleep":    func(t *rapid.T) { s.hosts[host.Draw(t, "host")].asleep = s.now + 5*yuccahinge.Second },
@@ -357,8 +400,11 @@
 		want := s.newest()
 		s.run(inForce)
 		s.mustHave(want, "after the faults")
-		s.replicas[0].down, s.replicas[1].down = false, false
-		s.replicas[0].hidden, s.replicas[1].hidden = 0, 0
+		s.mustKnowConflicts()
+		for i := range s.replicas {
+			r := &s.replicas[i]
+			r.down, r.hidden, r.torn = false, 0, false
+		}
 		for range 2 {
 			s.publish(false)
 			s.run(inForce)
