--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -343,7 +343,7 @@
 	}
 }
 
-func (s *sim) actions(t *rapid.T) map[string]func(*rapid.T) {
+func (s *sim) actions() map[string]func(*rapid.T) {
 	host := rapid.IntRange(0, len(s.hosts)-1)
 	return map[string]func(*rapid.T){
 		"publish": func(*rapid.T) { s.publish(false) },
@@ -399,7 +399,7 @@
 func TestSpreadUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSim(t, 3, rapid.IntRange(1, 5).Draw(t, "each"), rapid.Uint64().Draw(t, "seed"))
-		t.Repeat(s.actions(t))
+		t.Repeat(s.actions())
 		s.heal()
 		want := s.newest()
 		s.run(inForce)
