Ask suspect hosts too after a cut or a pause

A host that was cut off holds all others for suspect, and so asked nobody when it caught up. Tests for catching up and for a paused process.

--- /dev/null
+++ b/keeper/behind_test.go
@@ -0,0 +1,104 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// skewedClock jumps forward as the clock of a process does that was stopped for a while.
+type skewedClock struct{ skew atomic.Int64 }
+
+func (c *skewedClock) Now() yuccahinge.Millis {
+	return testClock{}.Now() + yuccahinge.Millis(c.skew.Load())
+}
+
+// behind runs f with a host that was cut off from all when ticket 2 came into force on the other.
+func behind(t *testing.T, f func(fleet *fleet, k *Keeper, clock *skewedClock, heal func())) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fl := &fleet{t: t}
+		fl.publish()
+		var wait sync.WaitGroup
+		other, k := fl.add(0, "d0"), fl.add(1, "d1")
+		clock := &skewedClock{}
+		k.Clock = clock
+		k.Source = lostSource{}
+		run(ctx, &wait, other)
+		time.Sleep(time.Second)
+		k.Seeds = []string{other.Self.PeerAddr}
+		run(ctx, &wait, k)
+		time.Sleep(3 * time.Second)
+		fl.mu.Lock()
+		fl.cut = func(string, string) bool { return true }
+		fl.mu.Unlock()
+		fl.publish()
+		time.Sleep(1500 * time.Millisecond)
+		f(fl, k, clock, func() {
+			fl.mu.Lock()
+			fl.cut = nil
+			fl.mu.Unlock()
+		})
+		cancel()
+		wait.Wait()
+	})
+}
+
+// lostSource is a platform that this host can not reach.
+type lostSource struct{}
+
+func (lostSource) Head(context.Context, yuccahinge.TicketNumber, yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
+	return 0, errCut
+}
+
+func (lostSource) Ticket(context.Context, yuccahinge.TicketNumber) (*yuccahinge.Ticket, error) {
+	return nil, errCut
+}
+func (lostSource) State(context.Context) (*yuccahinge.State, error)     { return nil, errCut }
+func (lostSource) Members(context.Context) ([]yuccahinge.Member, error) { return nil, errCut }
+
+func TestCatchUp(t *testing.T) {
+	behind(t, func(_ *fleet, k *Keeper, _ *skewedClock, heal func()) {
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		var typed *yuccahinge.Error
+		if err := k.CatchUp(ctx, 2); !errors.As(err, &typed) || typed.Code != yuccahinge.CodeUnavailable {
+			t.Errorf("a host that is cut off gives %v", err)
+		}
+		heal()
+		ctx, cancel = context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		if err := k.CatchUp(ctx, 2); err != nil {
+			t.Error(err)
+		}
+		if s, _ := k.State(); s.Ticket != 2 {
+			t.Errorf("ticket %d is in force", s.Ticket)
+		}
+	})
+}
+
+func TestPausedHostComparesBeforeItServes(t *testing.T) {
+	behind(t, func(_ *fleet, k *Keeper, clock *skewedClock, heal func()) {
+		clock.skew.Store(5000)
+		started := time.Now()
+		k.Fresh(context.Background())
+		if took := time.Since(started); took > 40*time.Millisecond {
+			t.Errorf("a host that is cut off waited %s", took)
+		}
+		if s, age := k.State(); s.Ticket != 1 || age < 5000 {
+			t.Errorf("ticket %d of age %v", s.Ticket, age)
+		}
+		heal()
+		clock.skew.Store(10000)
+		k.Fresh(context.Background())
+		if s, _ := k.State(); s.Ticket != 2 {
+			t.Errorf("after a pause ticket %d is in force", s.Ticket)
+		}
+	})
+}
--- a/spread/push.go
+++ b/spread/push.go
@@ -67,30 +67,33 @@
 	return at < farSenders
 }
 
-// Some returns up to n random hosts of the own domain and one of each other domain.
+// Some returns up to n random hosts of the own domain and one of each other domain. Hosts that are leaving or
+// suspect are among them, since after a cut or a pause there may be no others.
 func (s *Spread) Some(n int) []yuccahinge.HostID {
 	var out []yuccahinge.HostID
 	for _, d := range s.domains() {
+		want := 1
 		if d == s.Domain {
-			out = append(out, s.draw(d, n, func(yuccahinge.HostID) bool { return true })...)
-		} else {
-			out = append(out, s.draw(d, 1, func(yuccahinge.HostID) bool { return true })...)
+			want = n
 		}
+		out = append(out, s.draw(s.hostsOf(d, anyStatus), want)...)
 	}
 	return out
 }
 
 // sample returns up to n random hosts of a domain that are not known to have the number in force.
 func (s *Spread) sample(d yuccahinge.DomainID, n int) []yuccahinge.HostID {
-	return s.draw(d, n, func(id yuccahinge.HostID) bool { return s.known[id] < s.Number() })
+	ids := s.hostsOf(d, isLive)
+	ids = slices.DeleteFunc(ids, func(id string) bool { return s.known[yuccahinge.HostID(id)] >= s.Number() })
+	return s.draw(ids, n)
 }
 
-func (s *Spread) draw(d yuccahinge.DomainID, n int, fits func(yuccahinge.HostID) bool) []yuccahinge.HostID {
+// draw returns up to n of the ids at random, without this host's.
+func (s *Spread) draw(ids []string, n int) []yuccahinge.HostID {
 	var out []yuccahinge.HostID
-	for _, id := range s.idsOf(d) {
-		host := yuccahinge.HostID(id)
-		if host != s.Self && fits(host) {
-			out = append(out, host)
+	for _, id := range ids {
+		if id != string(s.Self) {
+			out = append(out, yuccahinge.HostID(id))
 		}
 	}
 	s.random().Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
@@ -98,16 +101,22 @@
 }
 
 // idsOf returns the live hosts of a domain in the order of their ids.
-func (s *Spread) idsOf(d yuccahinge.DomainID) []string {
+func (s *Spread) idsOf(d yuccahinge.DomainID) []string { return s.hostsOf(d, isLive) }
+
+func (s *Spread) hostsOf(d yuccahinge.DomainID, fits func(yuccahinge.MemberStatus) bool) []string {
 	var out []string
 	for _, m := range s.members {
-		if m.Domain == d && m.Status == yuccahinge.StatusLive {
+		if m.Domain == d && fits(m.Status) {
 			out = append(out, m.ID)
 		}
 	}
 	return out
 }
 
+func isLive(status yuccahinge.MemberStatus) bool { return status == yuccahinge.StatusLive }
+
+func anyStatus(yuccahinge.MemberStatus) bool { return true }
+
 func (s *Spread) domains() []yuccahinge.DomainID {
 	var out []yuccahinge.DomainID
 	for _, m := range s.members {
