Wait for the comparison after a pause without a lock

A lock held over calls to peers made each request behind a pause wait in a line that its own deadline could not end; found by a synctest bubble that could not advance (go test ./keeper hung).

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -66,6 +66,8 @@
 	compared yuccahinge.Millis
 	told     yuccahinge.Millis
 	reported map[string]yuccahinge.Millis
+	// refresh is closed at the end of the comparison that follows a pause; nil when none is under way.
+	refresh chan struct{}
 
 	state  atomic.Pointer[yuccahinge.State]
 	ready  atomic.Pointer[readiness]
@@ -75,7 +77,6 @@
 	// beat is the last sign of life of this process's timers, as the bits of Millis.
 	beat     atomic.Uint64
 	stale    atomic.Bool
-	refresh  sync.Mutex
 	catching sync.Mutex
 	dice     dice
 
--- a/keeper/pause.go
+++ b/keeper/pause.go
@@ -22,15 +22,46 @@
 	if !k.paused(k.Clock.Now()) {
 		return
 	}
-	k.refresh.Lock()
-	defer k.refresh.Unlock()
-	now := k.Clock.Now()
-	if !k.paused(now) {
+	done, first := k.startRefresh()
+	if !first {
+		select {
+		case <-done:
+		case <-ctx.Done():
+		}
 		return
 	}
+	defer k.endRefresh(done)
 	k.record(yuccahinge.Event{Code: event.ProcessPaused})
-	ctx, cancel := context.WithTimeout(ctx, orDefault(k.FreshMs, DefaultFresh).Duration())
+	// Others wait for this comparison, so the end of this request must not end it.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orDefault(k.FreshMs, DefaultFresh).Duration())
 	defer cancel()
+	k.comparePeers(ctx)
+	k.touch()
+	k.stale.Store(false)
+}
+
+// startRefresh returns the channel that is closed at the end of the comparison under way, and whether the
+// caller has to make it.
+func (k *Keeper) startRefresh() (chan struct{}, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.begin()
+	if k.refresh != nil {
+		return k.refresh, false
+	}
+	k.refresh = make(chan struct{})
+	return k.refresh, true
+}
+
+func (k *Keeper) endRefresh(done chan struct{}) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.refresh = nil
+	close(done)
+}
+
+// comparePeers compares states with some peers, and the notices with one of them.
+func (k *Keeper) comparePeers(ctx context.Context) {
 	k.mu.Lock()
 	peers := k.some(freshPeers)
 	k.mu.Unlock()
@@ -40,8 +71,6 @@
 		wait.Go(func() { _ = k.compare(ctx, peer, true) })
 	}
 	wait.Wait()
-	k.touch()
-	k.stale.Store(false)
 }
 
 func (k *Keeper) paused(now yuccahinge.Millis) bool {
