Contain queries of death and serve through a cut

Cause: a query that crashes every searcher met all shards at once; every crash of two searchers at a time blamed the innocent queries beside it; a dead searcher behind a relay looked like a crash for as long as it was down; the immediate retry took the shard's second replica. Change: two canaries in this failure domain go 4 ms ahead of the other shards for queries not seen to run whole; a loss counts only for a searcher that replied since its last one, and confirms only while no other shard may still reply; a second lost shard ends the retries of lost ones; a suspect spreads with its shard (NoticeSuspect), rests for 10 s and then runs at that shard alone.

Cause: hedges waited until few shards were missing, which never came when a whole domain was silent; silence was forgotten with the last call in flight; a shard whose searchers were all gone kept every query to its deadline. Change: a hedge goes after twice its delay in any case; silence counts from the oldest call without a reply, ejects after 500 ms, and ends with a reply to a trial or a probe, which asks quiet searchers every second; a shard with ejected searchers only gets a trial every 250 ms and is lacking otherwise. Left: queries in flight across the cut wait for their deadline.

--- a/gather/gather.go
+++ b/gather/gather.go
@@ -33,13 +33,17 @@
 	EnoughCoverage float64
 	// MaxHits bounds the hits of the answer; zero keeps all.
 	MaxHits int
-	// Canary asks one shard first and the others after its reply, so that a query that crashes searchers
-	// meets few of them.
+	// Domain is the failure domain of this host, where canaries are sent.
+	Domain yuccahinge.DomainID
+	// Canary asks two shards first, and the others after a reply or after CanaryMs without a lost
+	// connection, so that a query that crashes searchers meets few of them.
 	Canary bool
-	// CanaryMs is the wait for a canary's reply before the next shard is asked as well.
+	// CanaryMs is the wait for a sign from the canaries; zero takes 4 ms.
 	CanaryMs yuccahinge.Millis
 	// Suspect says that the query lost a searcher before. It is neither hedged nor retried.
 	Suspect bool
+	// SuspectShard is where a suspect query lost a searcher. It is asked first.
+	SuspectShard yuccahinge.ShardID
 
 	Picker      yuccahinge.Picker
 	Hedger      yuccahinge.Hedger
@@ -47,9 +51,9 @@
 	Observer    yuccahinge.Observer
 	RetryBudget yuccahinge.Budget
 	HedgeBudget yuccahinge.Budget
-	// Lost is told of a connection lost while the query ran, and whether a shard has replied to this
-	// query. It returns true when the query is to be given up as poisoned.
-	Lost func(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool
+	// Lost is told of a connection lost while the query ran, and whether other searchers have replied to
+	// this query or may still reply. It returns true when the query is to be given up as poisoned.
+	Lost func(now yuccahinge.Millis, shard yuccahinge.ShardID, id yuccahinge.SearcherID, proven bool) bool
 
 	shards   []shard
 	attempts []attempt
@@ -57,14 +61,19 @@
 	settled  int
 	covered  int
 	invalid  int
-	lost     int
-	holding  bool // later shards wait for a canary
-	next     int  // the next shard to ask while holding
+	lost     int               // connections lost while the query ran
+	retryAt  yuccahinge.Millis // instant of the retry after the first loss; zero for none
+	lostAt   int               // the shard of the first loss
+	holding  bool              // later shards wait for a canary
+	next     int               // the next shard to ask while holding
 	canaryAt yuccahinge.Millis
 	halfAt   yuccahinge.Millis
-	done     bool
-	poisoned bool
-	softSeen bool
+	// hedgeNext is the earliest hedgeAt of the shards and lateNext the earliest lateAt; zero for none.
+	hedgeNext yuccahinge.Millis
+	lateNext  yuccahinge.Millis
+	done      bool
+	poisoned  bool
+	softSeen  bool
 }
 
 // Start asks the shards.
@@ -78,8 +87,7 @@
 	}
 	if (g.Canary || g.Suspect) && n > 1 {
 		g.holding = true
-		g.next = n
-		g.askCanary(now)
+		g.askCanaries(now)
 	} else {
 		g.askAll(now)
 	}
@@ -113,8 +121,9 @@
 		return nil
 	}
 	if g.holding && now >= g.canaryAt {
-		g.askCanary(now)
+		g.release(now)
 	}
+	g.retryDue(now)
 	g.hedgeDue(now)
 	return g.conclude(now)
 }
@@ -131,14 +140,11 @@
 	if g.holding {
 		return min(at, g.canaryAt), true
 	}
-	if !g.mayHedge() {
-		return at, true
+	if g.retryAt > 0 {
+		at = min(at, g.retryAt)
 	}
-	for i := range g.shards {
-		s := &g.shards[i]
-		if s.hedgeAt > 0 && !s.settled() {
-			at = min(at, s.hedgeAt)
-		}
+	if hedge, ok := g.hedgeTick(); ok {
+		at = min(at, hedge)
 	}
 	return at, true
 }
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -178,6 +178,20 @@
 	}
 }
 
+func TestHedgesManyShardsThatAreVeryLate(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(20, 2), Deadline: 100, Hedger: fixedDelay(10)}
+	sends := slices.Clone(g.Start(0))
+	for _, a := range sends[:12] {
+		g.Result(1, a.Attempt, reply(a))
+	}
+	if at, _ := g.NextTick(); at != 20 {
+		t.Fatalf("next tick is %g", at)
+	}
+	if out := g.Tick(20); len(out) != 8 {
+		t.Fatalf("%d hedges for 8 silent shards", len(out))
+	}
+}
+
 func TestCoveredIsWrittenAsRanges(t *testing.T) {
 	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
 	for _, a := range slices.Clone(g.Start(0)) {
--- a/gather/result.go
+++ b/gather/result.go
@@ -30,7 +30,8 @@
 		return
 	}
 	s.reason = r.Reason
-	if r.Reason == yuccahinge.ReasonLost && g.giveUp(now, a.searcher) {
+	if r.Reason == yuccahinge.ReasonLost {
+		g.lose(now, a, s)
 		return
 	}
 	g.again(now, a.shard, s)
@@ -81,16 +82,41 @@
 	}
 }
 
-// giveUp counts a lost connection and reports whether the query is poisoned.
-func (g *Gather) giveUp(now yuccahinge.Millis, id yuccahinge.SearcherID) bool {
+// lose counts a lost connection. The first may have been bad luck, so that its shard is asked again after a
+// moment. From the second on the query is the likelier cause, and no more replicas are risked.
+func (g *Gather) lose(now yuccahinge.Millis, a *attempt, s *shard) {
 	g.lost++
-	proven := g.covered > 0
+	proven := g.covered > 0 || !g.holding
 	if g.Lost != nil {
-		g.poisoned = g.Lost(now, id, proven) || g.poisoned
+		g.poisoned = g.Lost(now, s.spec.ID, a.searcher, proven)
 	} else {
-		g.poisoned = g.poisoned || !proven && (g.Suspect || g.lost > 1)
+		g.poisoned = !proven && (g.Suspect || g.lost > 1)
+	}
+	switch {
+	case g.poisoned || s.open > 0:
+	case g.holding:
+		g.canaryAt = now + afterLossMs
+	case g.lost == 1:
+		g.retryAt = now + retryLostMs
+		g.lostAt = a.shard
+	default:
+		if g.retryAt > 0 {
+			g.retryAt = 0
+			g.lack(&g.shards[g.lostAt], yuccahinge.ReasonLost)
+		}
+		g.lack(s, yuccahinge.ReasonLost)
+	}
+}
+
+// retryDue asks again where the first connection was lost.
+func (g *Gather) retryDue(now yuccahinge.Millis) {
+	if g.retryAt == 0 || now < g.retryAt {
+		return
+	}
+	g.retryAt = 0
+	if s := &g.shards[g.lostAt]; s.open == 0 && !s.settled() {
+		g.again(now, g.lostAt, s)
 	}
-	return g.poisoned
 }
 
 // again asks another replica after a failure, or settles the shard.
@@ -120,10 +146,6 @@
 // nextCanary goes on to another shard after a canary failed. The failed one's shard counts as not asked,
 // so that it has its turn with the others.
 func (g *Gather) nextCanary(now yuccahinge.Millis, s *shard) {
-	if g.lost > 0 {
-		g.canaryAt = now + afterLossMs
-		return
-	}
 	if s.sent >= maxTried {
 		g.lack(s, s.reason)
 	}
--- a/gather/send.go
+++ b/gather/send.go
@@ -3,12 +3,19 @@
 import "github.com/yuccahinge/yuccahinge"
 
 const (
-	// defaultCanaryMs is the wait for a canary when neither CanaryMs nor the Hedger names one.
-	defaultCanaryMs yuccahinge.Millis = 20
+	// canaries is the number of shards that are asked first.
+	canaries = 2
+	// defaultCanaryMs is the wait for a sign from a canary.
+	defaultCanaryMs yuccahinge.Millis = 4
+	// suspectMs is the wait for the reply of a canary of a suspect query when the Hedger names none.
+	suspectMs yuccahinge.Millis = 20
+	// retryLostMs is the pause before a shard whose connection was lost is asked again. Other connections
+	// that the query costs are lost by then.
+	retryLostMs yuccahinge.Millis = 10
 	// afterLossMs is the pause after a lost canary. It keeps the next one apart from whatever else was
 	// crashing at the time, so that a bystander is not blamed twice for one fault.
 	afterLossMs yuccahinge.Millis = 50
-	// hedgeShare is the share of shards that may be missing when hedges start.
+	// hedgeShare is the part of the shards, as one in so many, that counts as the last.
 	hedgeShare = 4
 	// hedgeAgainMs is the pause after a hedge that the budget refused.
 	hedgeAgainMs yuccahinge.Millis = 5
@@ -31,20 +38,46 @@
 	}
 }
 
-// askCanary sends the first attempt at the next shard alone. The first canary's shard follows from the
-// request, so that canaries spread over the shards.
-func (g *Gather) askCanary(now yuccahinge.Millis) {
-	n := len(g.shards)
-	if g.next == n {
-		g.next = spread(g.Request, n)
-	}
-	for range n {
-		i := g.next
-		g.next = (g.next + 1) % n
-		if s := &g.shards[i]; s.sent == 0 && !s.settled() {
+// askCanaries starts with two shards, or with one when the query is suspect: a canary that waits in a
+// searcher's queue gives no sign in time.
+func (g *Gather) askCanaries(now yuccahinge.Millis) {
+	g.next = spread(g.Request, len(g.shards))
+	if g.Suspect {
+		g.askFirst(now)
+		return
+	}
+	g.askCanary(now)
+	if g.holding && len(g.shards) > 2*canaries {
+		g.askCanary(now)
+	}
+}
+
+// askFirst sends the canary of a suspect query to where it lost a searcher.
+func (g *Gather) askFirst(now yuccahinge.Millis) {
+	for i := range g.shards {
+		if g.shards[i].spec.ID == g.SuspectShard {
 			g.ask(now, i, First)
 			g.canaryAt = now + g.canaryWait(now, i)
+			return
+		}
+	}
+	g.askCanary(now)
+}
+
+// askCanary sends the first attempt at the next shard alone, at one with a replica in this failure domain
+// if there is any. The first canary's shard follows from the request, so that canaries spread over the shards.
+func (g *Gather) askCanary(now yuccahinge.Millis) {
+	for _, local := range [...]bool{true, false} {
+		for i := range g.shards {
+			at := (g.next + i) % len(g.shards)
+			s := &g.shards[at]
+			if s.sent > 0 || s.settled() || (local && !g.hasLocal(s)) {
+				continue
+			}
+			g.ask(now, at, First)
 			if s.sent > 0 {
+				g.next = at + 1
+				g.canaryAt = now + g.canaryWait(now, at)
 				return
 			}
 		}
@@ -52,16 +85,38 @@
 	g.askAll(now)
 }
 
+func (g *Gather) hasLocal(s *shard) bool {
+	for _, id := range s.spec.Searchers {
+		if to := g.Index.Searchers[id]; to != nil && to.Domain == g.Domain {
+			return true
+		}
+	}
+	return false
+}
+
+// release lets the other shards be asked when the canary gave no sign of harm. A suspect query goes on to
+// the next canary instead until one has replied.
+func (g *Gather) release(now yuccahinge.Millis) {
+	if g.Suspect || g.suspicious() {
+		g.askCanary(now)
+		return
+	}
+	g.askAll(now)
+}
+
 func (g *Gather) canaryWait(now yuccahinge.Millis, i int) yuccahinge.Millis {
-	if g.CanaryMs > 0 {
-		return g.CanaryMs
+	if !g.Suspect && !g.suspicious() {
+		if g.CanaryMs > 0 {
+			return g.CanaryMs
+		}
+		return defaultCanaryMs
 	}
 	if g.Hedger != nil {
 		if d, ok := g.Hedger.Delay(now, g.Service, g.shards[i].spec.ID); ok {
 			return d
 		}
 	}
-	return defaultCanaryMs
+	return suspectMs
 }
 
 // ask sends an attempt at a shard, or settles the shard as lacking when there is nobody left to ask.
@@ -111,6 +166,8 @@
 	}
 	if d, ok := g.Hedger.Delay(now, g.Service, s.spec.ID); ok {
 		s.hedgeAt = now + d
+		s.lateAt = s.hedgeAt + d
+		g.planHedge(s)
 	}
 }
 
@@ -127,35 +184,73 @@
 	return "", false
 }
 
-// hedgeDue sends the hedges that are due, once only few shards are missing: hedging a shard that is not
-// among the last does not make the answer earlier.
+// hedgeDue sends the hedges that are due.
 func (g *Gather) hedgeDue(now yuccahinge.Millis) {
-	if !g.mayHedge() {
+	at, ok := g.hedgeTick()
+	if !ok || now < at {
 		return
 	}
+	last := g.isLast()
+	g.hedgeNext, g.lateNext = 0, 0
 	for i := range g.shards {
 		s := &g.shards[i]
-		if s.hedgeAt == 0 || s.hedgeAt > now || s.settled() {
+		if s.hedgeAt == 0 || s.settled() {
 			continue
 		}
-		if s.sent >= len(s.spec.Searchers) {
-			s.hedgeAt = 0
-			continue
-		}
-		if g.HedgeBudget != nil && !g.HedgeBudget.Take() {
-			s.hedgeAt = now + hedgeAgainMs
-			continue
+		if s.lateAt <= now || (last && s.hedgeAt <= now) {
+			g.hedge(now, i, s)
 		}
+		g.planHedge(s)
+	}
+}
+
+// hedgeTick returns the instant of the next hedge, which may be early when its shard has settled meanwhile.
+// While many shards are missing a hedge waits for twice its delay: hedging a shard that is not among the
+// last does not make the answer earlier, unless many searchers are silent at once.
+func (g *Gather) hedgeTick() (yuccahinge.Millis, bool) {
+	if g.Suspect || g.suspicious() || g.holding {
+		return 0, false
+	}
+	if g.isLast() {
+		return g.hedgeNext, g.hedgeNext > 0
+	}
+	return g.lateNext, g.lateNext > 0
+}
+
+// isLast reports whether only few shards are missing.
+func (g *Gather) isLast() bool { return g.missing() <= max(2, len(g.shards)/hedgeShare) }
+
+// hedge asks another replica of a late shard if there is one and the budget allows it.
+func (g *Gather) hedge(now yuccahinge.Millis, i int, s *shard) {
+	if s.sent >= len(s.spec.Searchers) {
 		s.hedgeAt = 0
-		g.ask(now, i, Hedge)
+		return
 	}
+	if g.HedgeBudget != nil && !g.HedgeBudget.Take() {
+		s.hedgeAt = now + hedgeAgainMs
+		s.lateAt = s.hedgeAt
+		return
+	}
+	s.hedgeAt = 0
+	g.ask(now, i, Hedge)
 }
 
-func (g *Gather) mayHedge() bool {
-	return !g.Suspect && !g.suspicious() && !g.holding && g.missing() <= g.hedgeLast()
+// planHedge counts the shard's hedge among the next.
+func (g *Gather) planHedge(s *shard) {
+	if s.hedgeAt == 0 {
+		return
+	}
+	g.hedgeNext = sooner(g.hedgeNext, s.hedgeAt)
+	g.lateNext = sooner(g.lateNext, s.lateAt)
 }
 
-func (g *Gather) hedgeLast() int { return max(2, len(g.shards)/hedgeShare) }
+// sooner returns the earlier of two instants, of which a may be zero for none.
+func sooner(a, b yuccahinge.Millis) yuccahinge.Millis {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
 
 // suspicious reports whether the query lost a connection and no shard has replied to it.
 func (g *Gather) suspicious() bool { return g.lost > 0 && g.covered == 0 }
--- a/gather/shard.go
+++ b/gather/shard.go
@@ -15,7 +15,8 @@
 	open    int // attempts in flight
 	sent    int // attempts sent
 	tried   [maxTried]yuccahinge.SearcherID
-	hedgeAt yuccahinge.Millis // zero for no hedge
+	hedgeAt yuccahinge.Millis // hedge from here if the shard is among the last; zero for no hedge
+	lateAt  yuccahinge.Millis // hedge from here in any case
 }
 
 func (s *shard) settled() bool { return s.reply != nil || s.lacking }
--- a/gossip.go
+++ b/gossip.go
@@ -7,6 +7,9 @@
 const (
 	// NoticeDraining says that a searcher incarnation is leaving. Its key is the SearcherID.
 	NoticeDraining NoticeKind = "draining"
+	// NoticeSuspect says that a query lost several searchers. Its key is the Fingerprint in hexadecimal, a
+	// slash and the number of the shard that lost the last one.
+	NoticeSuspect NoticeKind = "suspect"
 	// NoticePoisoned says that a query is quarantined. Its key is the Fingerprint in hexadecimal.
 	NoticePoisoned NoticeKind = "poisoned"
 )
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -14,6 +14,8 @@
 const (
 	// everyMs is the pause between two rounds.
 	everyMs = 200 * yuccahinge.Millis(1)
+	// quietMs is the time after which a searcher that brings no replies is asked again.
+	quietMs = 1 * yuccahinge.Second
 	// againMs is the time after which a searcher that needs no urgent probe is asked again.
 	againMs = 10 * yuccahinge.Second
 	// timeoutMs bounds one probe.
@@ -39,6 +41,8 @@
 	Heard func(id yuccahinge.SearcherID, r *yuccahinge.LoadReport)
 	// Urgent returns the searchers that an index change waits for; nil for none.
 	Urgent func(name yuccahinge.ServiceName, s *yuccahinge.Service) []yuccahinge.SearcherID
+	// Quiet returns the searchers that bring no replies; nil for none.
+	Quiet func(s *yuccahinge.Service) []yuccahinge.SearcherID
 	// Round is called before each round; nil for nothing.
 	Round func()
 	Clock yuccahinge.Clock
@@ -106,6 +110,9 @@
 		for _, id := range p.urgent(name, s) {
 			out = p.add(out, seen, id, s.Index.Searchers[id], now, everyMs)
 		}
+		for _, id := range p.quiet(s) {
+			out = p.add(out, seen, id, s.Index.Searchers[id], now, quietMs)
+		}
 		for id, searcher := range s.Index.Searchers {
 			out = p.add(out, seen, id, searcher, now, againMs)
 		}
@@ -135,6 +142,13 @@
 	return p.Urgent(name, s)
 }
 
+func (p *Probe) quiet(s *yuccahinge.Service) []yuccahinge.SearcherID {
+	if p.Quiet == nil {
+		return nil
+	}
+	return p.Quiet(s)
+}
+
 func (p *Probe) now() yuccahinge.Millis {
 	if p.Clock != nil {
 		return p.Clock.Now()
--- a/query/engine.go
+++ b/query/engine.go
@@ -47,7 +47,9 @@
 	// Leave remembers which searchers are draining.
 	Leave *leave.Leave
 	// Gossip spreads what Poison and Leave find.
-	Gossip   yuccahinge.Gossip
+	Gossip yuccahinge.Gossip
+	// Domain is this host's failure domain.
+	Domain   yuccahinge.DomainID
 	Clock    yuccahinge.Clock
 	Recorder yuccahinge.Recorder
 	// CatchUp waits until the state in force is at least n.
@@ -105,7 +107,7 @@
 	}
 	mark := fingerprint(r)
 	verdict := e.verdict(now, mark)
-	if verdict == poison.Confirmed {
+	if verdict == poison.Confirmed || verdict == poison.Resting {
 		return nil, fail(yuccahinge.CodePoisoned, yuccahinge.StepAdmit, "the query crashed searchers and is refused for a while")
 	}
 	if e.Limiter != nil && !e.Limiter.Admit(now, r.Service) {
--- a/query/notice.go
+++ b/query/notice.go
@@ -2,9 +2,11 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/poison"
 )
 
 // drainNoticeMs is how long a notice of a leaving searcher stands.
@@ -13,8 +15,8 @@
 // Hear takes a notice from another host.
 func (e *Engine) Hear(n yuccahinge.Notice) {
 	switch n.Kind {
-	case yuccahinge.NoticePoisoned:
-		e.hearPoisoned(n)
+	case yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
+		e.hearOfQuery(n)
 	case yuccahinge.NoticeDraining:
 		if e.Leave != nil && e.Leave.Mark(yuccahinge.SearcherID(n.Key), n.Incarnation) {
 			e.record(yuccahinge.Event{Code: event.SearcherDraining, Searcher: yuccahinge.SearcherID(n.Key), Detail: "heard"})
@@ -22,31 +24,60 @@
 	}
 }
 
-func (e *Engine) hearPoisoned(n yuccahinge.Notice) {
-	f, err := strconv.ParseUint(n.Key, 16, 64)
+func (e *Engine) hearOfQuery(n yuccahinge.Notice) {
+	f, shard, err := parseKey(n.Key)
 	if err != nil || e.Poison == nil {
 		return
 	}
-	if e.Poison.Confirm(e.now(), yuccahinge.Fingerprint(f), n.TTLMs) {
+	if n.Kind == yuccahinge.NoticeSuspect {
+		e.Poison.Suspect(e.now(), f, shard)
+		return
+	}
+	if e.Poison.Confirm(e.now(), f, n.TTLMs) {
 		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Detail: "heard " + n.Key})
 	}
 }
 
-// tellPoisoned records and spreads that a query is quarantined.
-func (e *Engine) tellPoisoned(r *yuccahinge.SearchRequest, f yuccahinge.Fingerprint) {
-	key := strconv.FormatUint(uint64(f), 16)
-	e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: r.RequestID, Service: r.Service, Detail: key})
+// tellOf records and spreads what is held against a query.
+func (e *Engine) tellOf(r *yuccahinge.SearchRequest, f yuccahinge.Fingerprint, v poison.Verdict, shard yuccahinge.ShardID) {
+	n := yuccahinge.Notice{
+		Kind:  yuccahinge.NoticeSuspect,
+		Key:   strconv.FormatUint(uint64(f), 16) + keySeparator + strconv.FormatUint(uint64(shard), 10),
+		TTLMs: e.Poison.Hold(),
+	}
+	if v == poison.Confirmed {
+		n.Kind = yuccahinge.NoticePoisoned
+		n.Key = strconv.FormatUint(uint64(f), 16)
+		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: r.RequestID, Service: r.Service, Detail: n.Key})
+	}
 	if e.Gossip != nil {
-		e.Gossip.Tell(yuccahinge.Notice{Kind: yuccahinge.NoticePoisoned, Key: key, TTLMs: e.Poison.Hold()})
+		e.Gossip.Tell(n)
 	}
 }
 
+// keySeparator stands between fingerprint and shard in the key of a NoticeSuspect.
+const keySeparator = "/"
+
+// parseKey reads the fingerprint and, where it is given, the shard.
+func parseKey(key string) (yuccahinge.Fingerprint, yuccahinge.ShardID, error) {
+	head, tail, found := strings.Cut(key, keySeparator)
+	f, err := strconv.ParseUint(head, 16, 64)
+	if err != nil || !found {
+		return yuccahinge.Fingerprint(f), 0, err
+	}
+	shard, err := strconv.ParseUint(tail, 10, 32)
+	return yuccahinge.Fingerprint(f), yuccahinge.ShardID(shard), err
+}
+
 // learn takes what a reply says of its searcher.
 func (e *Engine) learn(id yuccahinge.SearcherID, r *yuccahinge.ShardResult, version yuccahinge.IndexVersion) {
 	if r.Reply == nil {
 		return
 	}
 	e.Report(id, &r.Reply.Load)
+	if e.Poison != nil {
+		e.Poison.Replied(id)
+	}
 	if e.Ready != nil && r.Reason == yuccahinge.ReasonVersion {
 		e.Ready.Lacks(id, version)
 	}
--- a/query/run.go
+++ b/query/run.go
@@ -23,7 +23,6 @@
 	calendar *yuccahinge.Calendar
 	results  chan ended
 	cancels  []context.CancelFunc
-	proven   bool
 }
 
 // ended is the end of one attempt.
@@ -47,6 +46,7 @@
 		Deadline:       deadline,
 		EnoughCoverage: q.service.EnoughCoverage,
 		MaxHits:        q.service.MaxHits,
+		Domain:         e.Domain,
 		Suspect:        verdict == poison.Suspect,
 		Picker:         e.Picker,
 		Hedger:         e.Hedger,
@@ -61,6 +61,7 @@
 	if e.Poison != nil {
 		q.gather.Canary = e.Canary && !e.Poison.Proven(q.mark)
 		q.gather.Lost = q.lost
+		q.gather.SuspectShard = e.Poison.Shard(q.mark)
 	}
 }
 
@@ -108,22 +109,22 @@
 func (q *run) take(r ended) []gather.Action {
 	e := q.engine
 	e.learn(r.searcher, r.result, q.index.Version)
-	if r.result.Outcome == yuccahinge.Ran && !q.proven {
-		q.proven = true
-		if e.Poison != nil {
-			e.Poison.Ran(e.now(), q.mark)
-		}
-	}
 	q.recordEnd(r)
 	return q.gather.Result(e.now(), r.attempt, r.result)
 }
 
-func (q *run) lost(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool {
-	confirmed := q.engine.Poison.Lost(now, q.mark, id, proven)
-	if confirmed {
-		q.engine.tellPoisoned(q.request, q.mark)
+func (q *run) lost(now yuccahinge.Millis, shard yuccahinge.ShardID, id yuccahinge.SearcherID, proven bool) bool {
+	verdict, news := q.engine.Poison.Lost(now, poison.Loss{
+		Query:    q.mark,
+		Request:  q.request.RequestID,
+		Shard:    shard,
+		Searcher: id,
+		Proven:   proven,
+	})
+	if news {
+		q.engine.tellOf(q.request, q.mark, verdict, shard)
 	}
-	return confirmed
+	return verdict == poison.Confirmed
 }
 
 func (q *run) act(calls context.Context, actions []gather.Action) {
@@ -195,6 +196,9 @@
 		e.record(yuccahinge.Event{Code: event.InvariantBroken, Request: q.request.RequestID, Service: q.request.Service, Detail: err.Error()})
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepGather, Message: "the answer broke an invariant", Err: err}
 	}
+	if e.Poison != nil && answer.Outcome == yuccahinge.Complete {
+		e.Poison.Clear(e.now(), q.mark)
+	}
 	for _, id := range duplicates {
 		e.record(yuccahinge.Event{Code: event.DuplicateHit, Request: q.request.RequestID, Service: q.request.Service, Detail: string(id)})
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -32,10 +32,11 @@
 func (r *Route) Pick(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard, tried []yuccahinge.SearcherID) (yuccahinge.SearcherID, bool) {
 	var room [8]candidate
 	all := r.candidates(room[:0], now, ix, shard, tried)
+	all = healthy(now, all)
 	if len(all) == 0 {
 		return "", false
 	}
-	return r.choose(healthy(all)), true
+	return r.choose(all), true
 }
 
 // Started counts an attempt in flight.
@@ -54,17 +55,31 @@
 // InFlight returns the attempts in flight at a searcher.
 func (r *Route) InFlight(id yuccahinge.SearcherID) int { return int(r.stat(id).inFlight.Load()) }
 
-// Ejected reports whether the searcher is kept out for its failures.
+// Ejected reports whether the searcher is kept out for its failures or its silence. Only a reply to a trial
+// or to a probe brings a silent one back.
 func (r *Route) Ejected(now yuccahinge.Millis, id yuccahinge.SearcherID) bool {
 	return r.stat(id).ejected(now)
 }
 
+// Quiet returns the searchers of the index that are kept out, in the order of their ids.
+func (r *Route) Quiet(now yuccahinge.Millis, ix *yuccahinge.Index) []yuccahinge.SearcherID {
+	var out []yuccahinge.SearcherID
+	for id := range ix.Searchers {
+		if v, ok := r.searchers.Load(id); ok && v.(*stat).ejected(now) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // candidate is a replica that may be used and its expected wait in milliseconds.
 type candidate struct {
 	id      yuccahinge.SearcherID
 	wait    float64
 	local   bool
 	ejected bool
+	stat    *stat
 }
 
 func (r *Route) candidates(out []candidate, now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard, tried []yuccahinge.SearcherID) []candidate {
@@ -80,7 +95,7 @@
 		if !r.holds(id, ix.Version) {
 			continue
 		}
-		c := candidate{id: id, wait: st.wait(now, s), local: s.Domain == r.Domain, ejected: st.ejected(now)}
+		c := candidate{id: id, wait: st.wait(now, s), local: s.Domain == r.Domain, ejected: st.ejected(now), stat: st}
 		if !c.local {
 			c.wait += float64(r.cross())
 		}
@@ -98,12 +113,14 @@
 	return holds || !known
 }
 
-// healthy drops the ejected candidates unless that would leave none: a wrong signal must not empty a shard.
-func healthy(all []candidate) []candidate {
-	if !slices.ContainsFunc(all, func(c candidate) bool { return !c.ejected }) {
-		return all
+// healthy drops the ejected candidates. When that would leave none, those remain that were ejected once
+// only, since a wrong signal must not empty a shard, and of the others each for a trial now and then:
+// every query would wait for its deadline at a shard that is gone.
+func healthy(now yuccahinge.Millis, all []candidate) []candidate {
+	if slices.ContainsFunc(all, func(c candidate) bool { return !c.ejected }) {
+		return slices.DeleteFunc(all, func(c candidate) bool { return c.ejected })
 	}
-	return slices.DeleteFunc(all, func(c candidate) bool { return c.ejected })
+	return slices.DeleteFunc(all, func(c candidate) bool { return !c.stat.mayTry(now) })
 }
 
 // choose takes the better of two random local candidates and of two random remote ones.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -25,6 +25,7 @@
 	for range calls {
 		id, ok := r.Pick(*now, ix, &ix.Shards[0], nil)
 		if !ok {
+			*now++
 			continue
 		}
 		picks[id]++
@@ -98,6 +99,25 @@
 	}
 }
 
+// TestGoneShardIsTriedNowAndThen covers a shard whose searchers failed again after their first ejection.
+func TestGoneShardIsTriedNowAndThen(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	fail := yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonLost, Latency: 100}
+	reply := func(yuccahinge.SearcherID) yuccahinge.ShardResult { return fail }
+	run(r, index(2), &now, 40, reply)
+	now += ejectMs + 1
+	run(r, index(2), &now, 40, reply)
+	picks := run(r, index(2), &now, 1000, reply)
+	if n := picks["s0"] + picks["s1"]; n > 10 {
+		t.Fatalf("a shard that is gone was asked %d times in a second", n)
+	}
+	picks = run(r, index(2), &now, 1000, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	if picks["s0"]+picks["s1"] < 500 {
+		t.Fatalf("the trials did not restore the shard: %v", picks)
+	}
+}
+
 func TestAvoidsTheSilent(t *testing.T) {
 	r := &Route{Domain: "d"}
 	now := yuccahinge.Millis(1)
@@ -111,6 +131,22 @@
 	}
 }
 
+func TestFrozenSearcherIsEjectedThoughEveryCallIsHedged(t *testing.T) {
+	r := &Route{Domain: "d"}
+	now := yuccahinge.Millis(1)
+	ix := index(2)
+	run(r, ix, &now, 200, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) })
+	picks := run(r, ix, &now, 1000, func(id yuccahinge.SearcherID) yuccahinge.ShardResult {
+		if id == "s0" {
+			return yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonCanceled, Latency: 12}
+		}
+		return ran(5, yuccahinge.LoadReport{})
+	})
+	if picks["s0"] > failuresToEject {
+		t.Fatalf("picks are %v", picks)
+	}
+}
+
 func TestTakesOwnDomainFirst(t *testing.T) {
 	r := &Route{Domain: "e"}
 	now := yuccahinge.Millis(1)
--- a/route/stat.go
+++ b/route/stat.go
@@ -30,8 +30,15 @@
 	// ejectMs is the first ejection's length; it doubles up to maxEjectMs.
 	ejectMs    = 1 * yuccahinge.Second
 	maxEjectMs = 16 * yuccahinge.Second
+	// silentMs and silentCalls, a multiple of the expected latency, are the silence that ejects a searcher.
+	silentMs    = 500.0
+	silentCalls = 8.0
+	// trialMs is the pause between trials of an ejected searcher that nobody else can stand in for.
+	trialMs = 250.0
 	// silentFactor is the multiple of the expected latency after which silence counts as latency.
 	silentFactor = 3.0
+	// lateFactor is the multiple of the expected latency from which a canceled call counts as a failure.
+	lateFactor = 1.5
 	// recoverMs is the time in which a bad estimate of an unused searcher halves, so that it is tried again.
 	recoverMs = 2000.0
 )
@@ -46,7 +53,7 @@
 	latency number // estimate of the time of a call in milliseconds
 	base    number // lowest estimate, the time of a call without a queue
 	updated number // instant of the last sample
-	heard   number // instant of the last end, or of the start after a rest
+	asked   number // instant of the oldest start since the last reply; zero when nothing waits for one
 	coldAt  number // instant at which the searcher was first seen in this life
 
 	hintAt    number // instant of the last load report
@@ -56,11 +63,13 @@
 	failures   atomic.Int64
 	ejections  atomic.Int64
 	ejectUntil number
+	triedAt    number // instant of the last trial while ejected
 }
 
 func (s *stat) started(now yuccahinge.Millis) {
-	if s.inFlight.Add(1) == 1 {
-		s.heard.store(float64(now))
+	s.inFlight.Add(1)
+	if s.asked.load() == 0 {
+		s.asked.store(float64(now))
 	}
 	if s.coldAt.load() == 0 {
 		s.coldAt.store(float64(now))
@@ -69,21 +78,44 @@
 
 func (s *stat) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
 	s.inFlight.Add(-1)
+	if r.Reply != nil {
+		s.report(now, &r.Reply.Load)
+		s.replied(now)
+	}
 	switch {
 	case r.Outcome == yuccahinge.Ran:
-		s.heard.store(float64(now))
 		s.succeed(now, float64(r.Latency))
+	case r.Reply != nil:
 	case r.Reason == yuccahinge.ReasonCanceled:
-		s.atLeast(now, float64(r.Latency))
-	case r.Outcome == yuccahinge.NotRun && r.Reply != nil:
-		s.heard.store(float64(now))
+		s.givenUp(now, r)
+	case r.Outcome == yuccahinge.NotRun && r.Reason == yuccahinge.ReasonShed:
+		// This host's own queue was full, which says nothing of the searcher.
 	default:
-		s.heard.store(float64(now))
 		s.fail(now, r)
 	}
-	if r.Reply != nil {
-		s.report(now, &r.Reply.Load)
+}
+
+// replied ends the silence. Calls that are still in flight may be younger than now says, never older
+// than the reply.
+func (s *stat) replied(now yuccahinge.Millis) {
+	if s.inFlight.Load() > 0 {
+		s.asked.store(float64(now))
+		return
+	}
+	s.asked.store(0)
+}
+
+// silence returns the time for which calls have brought no reply, in milliseconds.
+func (s *stat) silence(now yuccahinge.Millis) float64 {
+	if at := s.asked.load(); at > 0 {
+		return max(0, float64(now)-at)
 	}
+	return 0
+}
+
+// isSilent reports whether the searcher seems to be frozen or cut off.
+func (s *stat) isSilent(now yuccahinge.Millis) bool {
+	return s.silence(now) > max(silentMs, silentCalls*s.expected())
 }
 
 func (s *stat) succeed(now yuccahinge.Millis, took float64) {
@@ -99,11 +131,17 @@
 	s.sample(now, old+weight*(min(took, old*clip)-old))
 }
 
-// atLeast learns from a call that was given up before it ended.
-func (s *stat) atLeast(now yuccahinge.Millis, took float64) {
+// givenUp learns from a call that was canceled before it ended. One that was late by then counts as a
+// failure too: a frozen searcher shows itself by nothing else when every call to it is hedged.
+func (s *stat) givenUp(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
 	old := s.latency.load()
-	if old > 0 && took > old {
-		s.sample(now, old+weight*(min(took, old*clip)-old))
+	took := float64(r.Latency)
+	if old == 0 || took <= old {
+		return
+	}
+	s.sample(now, old+weight*(min(took, old*clip)-old))
+	if took > old*lateFactor {
+		s.fail(now, r)
 	}
 }
 
@@ -125,7 +163,7 @@
 	if s.failures.Add(1) < failuresToEject && r.Reason != yuccahinge.ReasonUnreachable {
 		return
 	}
-	if s.ejected(now) {
+	if float64(now) < s.ejectUntil.load() {
 		return
 	}
 	n := s.ejections.Add(1)
@@ -134,13 +172,27 @@
 	s.coldAt.store(float64(now + span))
 }
 
-func (s *stat) ejected(now yuccahinge.Millis) bool { return float64(now) < s.ejectUntil.load() }
+// ejected reports whether the searcher gets no call while another can take it.
+func (s *stat) ejected(now yuccahinge.Millis) bool {
+	return float64(now) < s.ejectUntil.load() || s.isSilent(now)
+}
+
+// mayTry reports whether an ejected searcher may get a call for want of a better one.
+func (s *stat) mayTry(now yuccahinge.Millis) bool {
+	if s.ejections.Load() < 2 && !s.isSilent(now) {
+		return true
+	}
+	old := s.triedAt.bits.Load()
+	return float64(now) >= math.Float64frombits(old)+trialMs &&
+		s.triedAt.bits.CompareAndSwap(old, math.Float64bits(float64(now)))
+}
 
 // report takes a load report as a hint. A new incarnation is cold and not draining.
 func (s *stat) report(now yuccahinge.Millis, l *yuccahinge.LoadReport) {
 	if l.Incarnation == "" {
 		return
 	}
+	s.replied(now)
 	if old := s.life.Load(); old == nil || *old != l.Incarnation {
 		if old != nil {
 			s.coldAt.store(float64(now))
@@ -201,11 +253,10 @@
 // estimate returns the latency estimate, raised by silence and lowered by rest.
 func (s *stat) estimate(now yuccahinge.Millis, inFlight float64) float64 {
 	estimate := s.expected()
+	if silence := s.silence(now); silence > silentFactor*estimate {
+		return silence
+	}
 	if inFlight > 0 {
-		silence := float64(now) - s.heard.load()
-		if silence > silentFactor*estimate {
-			return silence
-		}
 		return estimate
 	}
 	base := s.base.load()
--- a/tier/tier.go
+++ b/tier/tier.go
@@ -75,6 +75,8 @@
 	e.HedgeBudget = &t.hedges
 	e.Limiter = &t.limit
 	e.Poison = &t.poison
+	e.Canary = true
+	e.Domain = t.Domain
 	e.Ready = &t.Ready
 	e.Leave = &t.Leave
 	t.countHosts()
@@ -87,6 +89,7 @@
 		Loader: &t.Searchers,
 		Heard:  t.heard,
 		Urgent: t.Ready.Unknown,
+		Quiet:  t.quiet,
 		Round:  t.countHosts,
 		Clock:  t.Engine.Clock,
 	}
@@ -105,6 +108,10 @@
 	return t.share.Limit(t.Engine.Clock.Now(), s.Connections)
 }
 
+func (t *Tier) quiet(s *yuccahinge.Service) []yuccahinge.SearcherID {
+	return t.Route.Quiet(t.Engine.Clock.Now(), &s.Index)
+}
+
 func (t *Tier) countHosts() {
 	t.share.Observe(t.Engine.Clock.Now(), t.Hosts())
 }
