--- a/event/names.go
+++ b/event/names.go
@@ -11,12 +11,13 @@
 	searcherNames,
 }
 
+// catalogue holds every name.
+var catalogue = All()
+
 // Name returns the catalogue name of a code, or "unnumbered".
 func Name(code yuccahinge.EventCode) string {
-	for _, names := range catalogues {
-		if name, ok := names[code]; ok {
-			return name
-		}
+	if name, ok := catalogue[code]; ok {
+		return name
 	}
 	return "unnumbered"
 }
--- a/event/ring_test.go
+++ b/event/ring_test.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -26,3 +27,39 @@
 		t.Fatalf("got %d events after the end", len(got))
 	}
 }
+
+func TestReaderBesideWritersSeesEveryEventOnce(t *testing.T) {
+	const writers, each = 4, 2000
+	r := &Ring{Host: "e1", Clock: clock.Clock{}, Stamps: &hybrid.Clock{}, Capacity: 2 * writers * each}
+	var wg sync.WaitGroup
+	for range writers {
+		wg.Go(func() {
+			for range each {
+				r.Record(yuccahinge.Event{Code: ProcessReady})
+			}
+		})
+	}
+	var got []yuccahinge.Event
+	var next uint64
+	for len(got) < writers*each {
+		var page []yuccahinge.Event
+		page, next = r.Since(next)
+		got = append(got, page...)
+	}
+	wg.Wait()
+	for i, e := range got {
+		if e.Seq != uint64(i) {
+			t.Fatalf("event %d has the number %d", i, e.Seq)
+		}
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := &Ring{Host: "e1", Clock: clock.Clock{}, Stamps: &hybrid.Clock{}}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			r.Record(yuccahinge.Event{Code: AttemptEnded, Request: "q", Searcher: "s1"})
+		}
+	})
+}
--- a/hybrid/hybrid.go
+++ b/hybrid/hybrid.go
@@ -2,37 +2,50 @@
 package hybrid
 
 import (
-	"sync"
+	"sync/atomic"
 
 	"github.com/yuccahinge/yuccahinge"
 )
 
+// countBits is the width of the counter below the wall time in a packed stamp. A counter that overflows
+// carries into the wall time, which keeps the order.
+const countBits = 12
+
 // Clock issues stamps that grow on this host and, through Observe, along every message that it receives.
-// The zero value is ready to use.
+// The zero value is ready to use; its methods take no lock.
 type Clock struct {
-	mu   sync.Mutex
-	last yuccahinge.Stamp
+	// last is the newest stamp: microseconds of wall time, then the counter.
+	last atomic.Uint64
 }
 
 // Next returns a stamp above all stamps issued or observed before. The time now is in milliseconds;
 // the stamp's wall part is in microseconds.
 func (c *Clock) Next(now yuccahinge.Millis) yuccahinge.Stamp {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	wall := int64(now * 1000)
-	if wall > c.last.Wall {
-		c.last = yuccahinge.Stamp{Wall: wall}
-		return c.last
+	wall := uint64(now*1000) << countBits
+	for {
+		last := c.last.Load()
+		next := max(last+1, wall)
+		if c.last.CompareAndSwap(last, next) {
+			return unpack(next)
+		}
 	}
-	c.last.Count++
-	return c.last
 }
 
 // Observe raises the clock to a stamp received from another host.
 func (c *Clock) Observe(s yuccahinge.Stamp) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.last.Before(s) {
-		c.last = s
+	seen := pack(s)
+	for {
+		last := c.last.Load()
+		if last >= seen || c.last.CompareAndSwap(last, seen) {
+			return
+		}
 	}
 }
+
+func pack(s yuccahinge.Stamp) uint64 {
+	return uint64(s.Wall)<<countBits + uint64(s.Count)
+}
+
+func unpack(v uint64) yuccahinge.Stamp {
+	return yuccahinge.Stamp{Wall: int64(v >> countBits), Count: uint32(v & (1<<countBits - 1))}
+}
--- a/hybrid/hybrid_test.go
+++ b/hybrid/hybrid_test.go
@@ -1,6 +1,7 @@
 package hybrid
 
 import (
+	"sync"
 	"testing"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -23,3 +24,30 @@
 		t.Fatalf("stamp %v is not above the observed %v", got, seen)
 	}
 }
+
+func TestStampsAreUniqueUnderConcurrency(t *testing.T) {
+	const routines, each = 8, 5000
+	var c Clock
+	var wg sync.WaitGroup
+	got := make([][]yuccahinge.Stamp, routines)
+	for i := range got {
+		wg.Go(func() {
+			for range each {
+				got[i] = append(got[i], c.Next(7))
+			}
+		})
+	}
+	wg.Wait()
+	seen := make(map[yuccahinge.Stamp]bool)
+	for _, stamps := range got {
+		for i, s := range stamps {
+			if i > 0 && !stamps[i-1].Before(s) {
+				t.Fatalf("stamp %v is not before %v", stamps[i-1], s)
+			}
+			if seen[s] {
+				t.Fatalf("stamp %v was issued twice", s)
+			}
+			seen[s] = true
+		}
+	}
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -16,13 +17,14 @@
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
 )
 
 // Meter counts events and times requests. Start prepares it; before that it does nothing.
 type Meter struct {
 	registry *prometheus.Registry
 	source   metric.Meter
-	events   metric.Int64Counter
+	events   map[yuccahinge.EventCode]*count
 	requests metric.Float64Histogram
 }
 
@@ -38,8 +40,7 @@
 		return err
 	}
 	m.source = sdk.NewMeterProvider(sdk.WithReader(exp)).Meter("yuccahinge")
-	m.events, err = m.source.Int64Counter("yuccahinge.events", metric.WithDescription("Events of the time line by code."))
-	if err != nil {
+	if err := m.countEvents(); err != nil {
 		return err
 	}
 	m.requests, err = m.source.Float64Histogram("yuccahinge.request.duration",
@@ -49,13 +50,37 @@
 	return err
 }
 
+// count is the number of events of one code. Requests add to it, so that it takes no lock.
+type count struct {
+	n      atomic.Int64
+	labels metric.MeasurementOption
+}
+
+// countEvents makes a counter for each code of the catalogue, read whenever the metrics are.
+func (m *Meter) countEvents() error {
+	m.events = make(map[yuccahinge.EventCode]*count)
+	for code, name := range event.All() {
+		m.events[code] = &count{labels: metric.WithAttributes(
+			attribute.Int("code", int(code)), attribute.String("name", name))}
+	}
+	_, err := m.source.Int64ObservableCounter("yuccahinge.events",
+		metric.WithDescription("Events of the time line by code."),
+		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+			for _, c := range m.events {
+				if n := c.n.Load(); n > 0 {
+					o.Observe(n, c.labels)
+				}
+			}
+			return nil
+		}))
+	return err
+}
+
 // Count counts an event.
 func (m *Meter) Count(e yuccahinge.Event) {
-	if m.events == nil {
-		return
+	if c := m.events[e.Code]; c != nil {
+		c.n.Add(1)
 	}
-	m.events.Add(context.Background(), 1, metric.WithAttributes(
-		attribute.Int("code", int(e.Code)), attribute.String("name", e.Name)))
 }
 
 // Gauge registers a value that is read whenever the metrics are.
