--- a/standin/plat/platform.go
+++ b/standin/plat/platform.go
@@ -15,15 +15,10 @@
 	"github.com/yuccahinge/yuccahinge/standin/wire"
 )
 
-// Fold returns the state after the ticket. It does not change s, which is nil before the first ticket.
-type Fold func(s *yuccahinge.State, t *yuccahinge.Ticket) (*yuccahinge.State, error)
-
 // Platform is a stand-in platform. Set the addresses, call Listen, then Run.
 type Platform struct {
 	// ListenAddr is the address for readers, ControlAddr that for operators, faults and counters.
 	ListenAddr, ControlAddr string
-	// Fold folds tickets; nil takes a minimal one.
-	Fold Fold
 
 	public, control net.Listener
 	gate            gate.Gate
@@ -40,9 +35,6 @@
 
 // Listen binds the addresses.
 func (p *Platform) Listen() error {
-	if p.Fold == nil {
-		p.Fold = fold
-	}
 	p.tickets = map[yuccahinge.TicketNumber]*yuccahinge.Ticket{}
 	p.moved = make(chan struct{})
 	var err error
--- a/standin/plat/platform_test.go
+++ b/standin/plat/platform_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+func TestStateEndsBeforeABadTicket(t *testing.T) {
+	p := newPlatform(t)
+	publish(t, p, 1, "2026-12-04")
+	publish(t, p, 2, "no date")
+	publish(t, p, 3, "2026-12-05")
+	var s yuccahinge.State
+	get(t, p, "/v1/state", &s)
+	if s.Ticket != 1 || s.Calendars["feasts"].Holidays[0] != "2026-12-04" {
+		t.Fatalf("state %+v", s)
+	}
+}
+
 func TestStaleServesAnOlderTicket(t *testing.T) {
 	p := newPlatform(t)
 	publish(t, p, 1, "2026-12-04")
--- a/standin/plat/read.go
+++ b/standin/plat/read.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/ticket"
 )
 
 var (
@@ -128,31 +129,27 @@
 }
 
 func (p *Platform) getState(w http.ResponseWriter, _ *http.Request) {
-	state, err := p.state()
-	if err != nil {
-		wire.Problem(w, http.StatusInternalServerError, err)
-		return
-	}
-	wire.Reply(w, http.StatusOK, state)
+	wire.Reply(w, http.StatusOK, p.state())
 }
 
-// state folds the tickets up to the number served.
-func (p *Platform) state() (*yuccahinge.State, error) {
+// state folds the tickets up to the number served. It ends before the first one that does not fold, since
+// the system refuses such a ticket whole.
+func (p *Platform) state() *yuccahinge.State {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	state := &yuccahinge.State{}
+	state := new(yuccahinge.State)
 	for n := yuccahinge.TicketNumber(1); n <= p.served(); n++ {
-		t, ok := p.tickets[n]
-		if !ok {
-			continue
+		t := p.tickets[n]
+		if t == nil {
+			return state
 		}
-		next, err := p.Fold(state, t)
+		next, err := ticket.Fold(state, t)
 		if err != nil {
-			return nil, err
+			return state
 		}
 		state = next
 	}
-	return state, nil
+	return state
 }
 
 func (p *Platform) getMembers(w http.ResponseWriter, _ *http.Request) {
