--- a/bench/drive/drive.go
+++ b/bench/drive/drive.go
@@ -106,11 +106,12 @@
 
 func (d *Drive) one(ctx context.Context, i int, began time.Time, a *arrival) Sample {
 	query, _ := json.Marshal(a.query)
-	s := Sample{Phase: a.phase, Host: a.host, At: a.at, Marked: a.marked}
+	id := yuccahinge.RequestID(fmt.Sprintf("bench-%d-%d", d.Seed, i))
+	s := Sample{ID: id, Phase: a.phase, Host: a.host, At: a.at, Marked: a.marked}
 	s.Lag = yuccahinge.MillisOf(time.Since(began) - a.at)
 	time.Sleep(d.ClientMs.Duration())
 	answer, err := d.Search(ctx, a.host, &yuccahinge.SearchRequest{
-		RequestID:  yuccahinge.RequestID(fmt.Sprintf("bench-%d-%d", d.Seed, i)),
+		RequestID:  id,
 		Service:    d.Service,
 		Query:      query,
 		DeadlineMs: d.DeadlineMs,
--- a/bench/drive/sample.go
+++ b/bench/drive/sample.go
@@ -8,6 +8,7 @@
 
 // Sample is what one search came to.
 type Sample struct {
+	ID    yuccahinge.RequestID
 	Phase int
 	Host  int
 	// At is the intended start, Lag how much later the search was begun.
--- a/bench/scene/report.go
+++ b/bench/scene/report.go
@@ -21,6 +21,8 @@
 	Wrong int `json:"wrong"`
 	// Limited says why the generator or the machine, rather than the policy, was the limit; empty when not.
 	Limited []string `json:"limited,omitempty"`
+	// Trace is the time line of the search at p99 under the fault.
+	Trace []string `json:"trace,omitempty"`
 
 	plan    planFigures
 	phases  []drive.Phase
--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -96,7 +96,9 @@
 	for _, t := range timers {
 		t.Stop()
 	}
-	return newReport(w, phases, samples, watch())
+	r := newReport(w, phases, samples, watch())
+	w.traceSamples(r)
+	return r
 }
 
 // startOf returns when the phase begins, from the start of the load.
--- a/bench/scene/shipped.go
+++ b/bench/scene/shipped.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -58,6 +59,12 @@
 	return s.tier.Engine.Search(ctx, r)
 }
 
+// Events implements tracer.
+func (s *shipped) Events(id yuccahinge.RequestID) []yuccahinge.Event {
+	all, _ := s.events.Since(0)
+	return slices.DeleteFunc(all, func(e yuccahinge.Event) bool { return e.Request != id })
+}
+
 // Close implements Host.
 func (s *shipped) Close() {
 	s.stop()
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -24,13 +24,14 @@
 
 // options are the settings of a run.
 type options struct {
-	list, json, csv bool
-	scenario        string
-	service         string
-	sides           []string
-	seed            uint64
-	seconds         float64
-	medianMs        float64
+	list, json, csv, trace bool
+	scenario               string
+	service                string
+	sides                  []string
+	profile                string
+	seed                   uint64
+	seconds                float64
+	medianMs               float64
 }
 
 func main() {
@@ -46,6 +47,8 @@
 	flaggy.Float64(&o.medianMs, "", "median-ms", "median service time, 0 for the plan's")
 	flaggy.Bool(&o.json, "", "json", "print the result as JSON")
 	flaggy.Bool(&o.csv, "", "csv", "print the rows as CSV")
+	flaggy.Bool(&o.trace, "", "trace", "print the time line of the search at p99 under the fault")
+	flaggy.String(&o.profile, "", "cpu-profile", "file for a processor profile of the whole bench process")
 	flaggy.Parse()
 	os.Exit(run(&o))
 }
@@ -63,6 +66,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	stopProfile, err := startProfile(o.profile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer stopProfile()
 	for _, s := range scenes {
 		result, err := runScene(ctx, o, &s, plan)
 		if err != nil {
@@ -139,5 +148,5 @@
 		printCSV(r)
 		return
 	}
-	printTable(r)
+	printTable(r, o.trace)
 }
--- a/cmd/bench/table.go
+++ b/cmd/bench/table.go
@@ -5,12 +5,13 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/yuccahinge/yuccahinge/bench/scene"
 )
 
-func printTable(r *scene.Result) {
+func printTable(r *scene.Result, trace bool) {
 	fmt.Printf("scenario %s, service %s, seed %d\n", r.Scenario, r.Service, r.Seed)
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(w, "side\tphase\tsearches\tp50\tp99\tp999\tcoverage\tmin\tlacking\tattempts\tnotRun\trefused p99\tfailed\tgoodput\tµs/call\tbusy\t")
@@ -24,6 +25,9 @@
 	_ = w.Flush()
 	for _, side := range r.Sides {
 		printNotes(side)
+		if trace {
+			fmt.Println(strings.Join(side.Trace, "\n"))
+		}
 	}
 	for _, t := range r.Targets {
 		printTarget(t)
