Keep word of old lives from undoing what leave knows

A notice of a searcher's first life, still standing for its 60 s, replaced the mark of the fourth one, which was draining; a late reply of the fourth, from before its drain, then removed the mark, and the host sent it an attempt. Ruled out: an order of lives (incarnations are drawn at random), and a set of marks alone (a late reply of the life before would still clear them). Change: marks of several lives stand side by side, and one goes only when another life replied to a call that was sent after the mark. Calls tell when they were sent.

--- a/query/notice.go
+++ b/query/notice.go
@@ -16,7 +16,7 @@
 	case yuccahinge.NoticePoisoned:
 		e.hearPoisoned(n)
 	case yuccahinge.NoticeDraining:
-		if e.Leave != nil && e.Leave.Mark(yuccahinge.SearcherID(n.Key), n.Incarnation) {
+		if e.Leave != nil && e.Leave.Mark(e.now(), yuccahinge.SearcherID(n.Key), n.Incarnation) {
 			e.record(yuccahinge.Event{Code: event.SearcherDraining, Searcher: yuccahinge.SearcherID(n.Key), Detail: "heard"})
 		}
 	}
@@ -42,7 +42,8 @@
 }
 
 // learn takes what a reply says of its searcher.
-func (e *Engine) learn(id yuccahinge.SearcherID, r *yuccahinge.ShardResult, version yuccahinge.IndexVersion) {
+func (e *Engine) learn(end *ended, version yuccahinge.IndexVersion) {
+	id, r := end.searcher, end.result
 	if r.Reply == nil {
 		return
 	}
@@ -52,7 +53,7 @@
 			e.Ready.Lacks(id, version)
 		}
 	}
-	if e.Leave != nil && e.Leave.See(id, &r.Reply.Load) {
+	if e.Leave != nil && e.Leave.See(e.now(), end.sent, id, &r.Reply.Load) {
 		e.tellDraining(id, r.Reply.Load.Incarnation)
 	}
 }
--- a/query/run.go
+++ b/query/run.go
@@ -30,7 +30,9 @@
 type ended struct {
 	attempt  yuccahinge.AttemptID
 	searcher yuccahinge.SearcherID
-	result   *yuccahinge.ShardResult
+	// sent is the instant before the call.
+	sent   yuccahinge.Millis
+	result *yuccahinge.ShardResult
 }
 
 func (q *run) prepare(arrived, deadline yuccahinge.Millis, verdict poison.Verdict) {
@@ -107,7 +109,7 @@
 // take passes the end of an attempt on.
 func (q *run) take(r ended) []gather.Action {
 	e := q.engine
-	e.learn(r.searcher, r.result, q.index.Version)
+	e.learn(&r, q.index.Version)
 	if r.result.Outcome == yuccahinge.Ran && !q.proven {
 		q.proven = true
 		if e.Poison != nil {
@@ -157,8 +159,9 @@
 }
 
 func (q *run) call(ctx context.Context, attempt yuccahinge.AttemptID, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) {
+	sent := q.engine.now()
 	res := q.engine.Caller.Query(ctx, id, q.index.Searchers[id], r)
-	q.results <- ended{attempt, id, &res}
+	q.results <- ended{attempt, id, sent, &res}
 }
 
 // cancel gives an attempt up. Over HTTP/1.1 a canceled call closes its connection, so that it is left to
@@ -181,7 +184,7 @@
 	defer cancel()
 	for q.gather.Open() > 0 {
 		r := <-q.results
-		q.engine.learn(r.searcher, r.result, q.index.Version)
+		q.engine.learn(&r, q.index.Version)
 		q.gather.Result(q.engine.now(), r.attempt, r.result)
 	}
 }
