Gather: a refusal that echoes another attempt proves nothing

Only replies with outcome ran had their echo checked here. Ruled out: the searcher's client, which checks the echo of refusals too, so that the daemon was not affected; others who embed the part were. Change: one check for every result that rests on a reply.

Run: go test ./gather failed with the new test before the change (outcome notRun, want partial) and passed after it.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -238,3 +238,23 @@
 		})
 	}
 }
+
+// TestRefusalOfAnotherAttemptProvesNothing replays what cmd/soak found: a late refusal of one attempt that reached
+// another one counted as proof that the other did not run.
+func TestRefusalOfAnotherAttemptProvesNothing(t *testing.T) {
+	g := Gather{Request: "r", Index: index(1, 1), Deadline: 100}
+	sent := g.Start(0)[0]
+	r := reply(sent)
+	r.Outcome = yuccahinge.NotRun
+	r.Reason = yuccahinge.ReasonShed
+	r.Reply.Outcome = yuccahinge.NotRun
+	r.Reply.Attempt++
+	g.Result(1, sent.Attempt, r)
+	if !g.Done() {
+		g.Tick(100)
+	}
+	a, _, err := g.Answer()
+	if err != nil || a.Outcome != yuccahinge.Partial {
+		t.Fatalf("outcome %q, %v, want partial", a.Outcome, err)
+	}
+}
--- a/gather/result.go
+++ b/gather/result.go
@@ -17,15 +17,15 @@
 
 // take counts the end of an attempt for its shard.
 func (g *Gather) take(now yuccahinge.Millis, id yuccahinge.AttemptID, a *attempt, s *shard, r *yuccahinge.ShardResult) {
-	a.notRun = r.Outcome == yuccahinge.NotRun
-	if r.Outcome == yuccahinge.Ran {
-		if g.echoes(id, s, r.Reply) {
-			g.cover(now, a.shard, s, r.Reply)
-			return
-		}
+	if !g.genuine(id, s, r) {
 		g.invalid++
 		r = &yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonInvalid}
 	}
+	a.notRun = r.Outcome == yuccahinge.NotRun
+	if r.Outcome == yuccahinge.Ran {
+		g.cover(now, a.shard, s, r.Reply)
+		return
+	}
 	if s.settled() {
 		return
 	}
@@ -36,11 +36,22 @@
 	g.again(now, a.shard, s)
 }
 
+// genuine reports whether what a result says rests on a reply to this attempt. Without a reply it can only say that
+// the attempt did not run, because it was never sent, or that nothing is known.
+func (g *Gather) genuine(id yuccahinge.AttemptID, s *shard, r *yuccahinge.ShardResult) bool {
+	switch {
+	case r.Outcome == yuccahinge.Unknown:
+		return true
+	case r.Reply == nil:
+		return r.Outcome == yuccahinge.NotRun
+	default:
+		return r.Reply.Outcome == r.Outcome && g.echoes(id, s, r.Reply)
+	}
+}
+
 // echoes reports whether the reply is of this attempt.
 func (g *Gather) echoes(id yuccahinge.AttemptID, s *shard, r *yuccahinge.ShardReply) bool {
-	return r != nil &&
-		r.Outcome == yuccahinge.Ran &&
-		r.RequestID == g.Request &&
+	return r.RequestID == g.Request &&
 		r.Attempt == id &&
 		r.Shard == s.spec.ID &&
 		r.IndexVersion == g.Index.Version
