Roster: look for a way out when the own domain does not answer

Ruled out: more peers in each round (load for all hosts at all times). Change: a round whose own domain does not answer adds a host of another domain, one that answers if there is one.

--- a/roster/next.go
+++ b/roster/next.go
@@ -6,15 +6,16 @@
 	"github.com/yuccahinge/yuccahinge"
 )
 
-// Next returns the hosts to exchange with now: one of the own domain in a shuffled order, now and then one of
-// another domain, one whose last call failed, and now and then a dead one, so that hosts meet again after a cut.
+// Next returns the hosts to exchange with now: one of the own domain in a shuffled order, one of another domain now
+// and then and whenever the first one does not answer, one whose last call failed, and now and then a dead one, so
+// that hosts meet again after a cut.
 func (r *Roster) Next(now yuccahinge.Millis) []yuccahinge.Member {
 	r.own(now)
 	r.calls++
 	var out []yuccahinge.Member
 	out = r.appendNear(out)
-	if r.calls%crossEvery == 0 || len(out) == 0 {
-		out = r.appendAny(out, r.isFar)
+	if r.calls%crossEvery == 0 || !r.answers(out) {
+		out = r.appendFar(out)
 	}
 	out = r.appendAny(out, func(e *entry) bool { return e.failed > 0 && e.row.Member.Status != yuccahinge.StatusDead })
 	if r.calls%deadEvery == 0 {
@@ -23,6 +24,26 @@
 	return out
 }
 
+// answers reports whether there are hosts and the last calls to them brought replies.
+func (r *Roster) answers(members []yuccahinge.Member) bool {
+	for _, m := range members {
+		if r.rows[yuccahinge.HostID(m.ID)].failed > 0 {
+			return false
+		}
+	}
+	return len(members) > 0
+}
+
+// appendFar adds a host of another domain, one that answers if there is one: it may be the only way out of a cut.
+func (r *Roster) appendFar(out []yuccahinge.Member) []yuccahinge.Member {
+	n := len(out)
+	out = r.appendAny(out, func(e *entry) bool { return r.isFar(e) && e.failed == 0 })
+	if len(out) > n {
+		return out
+	}
+	return r.appendAny(out, r.isFar)
+}
+
 func (r *Roster) isFar(e *entry) bool {
 	m := &e.row.Member
 	return m.Domain != r.Self.Domain && m.Status != yuccahinge.StatusDead
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -106,3 +106,33 @@
 		t.Fatalf("%d rows differ", len(rows))
 	}
 }
+
+// TestNextFindsTheOnlyWayOut cuts a host off from all others but one of another domain. Within a few rounds every
+// round reaches that one.
+func TestNextFindsTheOnlyWayOut(t *testing.T) {
+	const hosts, warmUp, rounds = 9, 12, 5
+	r := &Roster{Self: member("h0", "x")}
+	for i := 1; i < hosts; i++ {
+		m := member(fmt.Sprintf("h%d", i), "y")
+		m.Domain = yuccahinge.DomainID(fmt.Sprint(i % 3))
+		if i < 3 {
+			m.Domain = r.Self.Domain
+		}
+		r.Heard(1000, Row{Member: m, Epoch: 5})
+	}
+	const way = "h8"
+	met := 0
+	for round := range warmUp + rounds {
+		now := yuccahinge.Millis(2000 + 100*round)
+		for _, m := range r.Next(now) {
+			if m.ID != way {
+				r.Failed(now, yuccahinge.HostID(m.ID))
+			} else if round >= warmUp {
+				met++
+			}
+		}
+	}
+	if met < rounds {
+		t.Fatalf("met %s in %d of the last %d rounds", way, met, rounds)
+	}
+}
