Roster: try the dead in every round after a cut

Ruled out: the exchange itself (the first one that got through brought the ticket) and the loss of messages (no storm in that time). Change: a host to which a fifth of all hosts or more are dead tries one of them in every round. In a cluster at rest nothing changes.

--- a/roster/next.go
+++ b/roster/next.go
@@ -18,12 +18,25 @@
 		out = r.appendFar(out)
 	}
 	out = r.appendAny(out, func(e *entry) bool { return e.failed > 0 && e.row.Member.Status != yuccahinge.StatusDead })
-	if r.calls%deadEvery == 0 {
-		out = r.appendAny(out, func(e *entry) bool { return e.row.Member.Status == yuccahinge.StatusDead })
+	if r.calls%deadEvery == 0 || r.manyDead() {
+		out = r.appendAny(out, isDead)
 	}
 	return out
 }
 
+func isDead(e *entry) bool { return e.row.Member.Status == yuccahinge.StatusDead }
+
+// manyDead reports whether so many hosts are dead that this one may be the one that was cut off.
+func (r *Roster) manyDead() bool {
+	n := 0
+	for _, e := range r.rows {
+		if isDead(e) {
+			n++
+		}
+	}
+	return n*manyShare >= len(r.rows)
+}
+
 // answers reports whether there are hosts and the last calls to them brought replies.
 func (r *Roster) answers(members []yuccahinge.Member) bool {
 	for _, m := range members {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -32,6 +32,9 @@
 	deadEvery  = 10
 )
 
+// manyShare is the part of all hosts, as a divisor, from which on the dead are many.
+const manyShare = 5
+
 // failuresToSuspect is the number of failed calls in a row that make a host suspect.
 const failuresToSuspect = 2
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -136,3 +136,30 @@
 		t.Fatalf("met %s in %d of the last %d rounds", way, met, rounds)
 	}
 }
+
+// TestNextTriesTheDeadSoonAfterACut counts how many rounds try a dead host, with few and with many of them.
+func TestNextTriesTheDeadSoonAfterACut(t *testing.T) {
+	const hosts, rounds = 21, 20
+	for _, c := range []struct{ dead, most, least int }{{1, 4, 1}, {hosts - 1, rounds, rounds}} {
+		r := &Roster{Self: member("h0", "x")}
+		for i := 1; i < hosts; i++ {
+			r.Heard(1000, Row{Member: member(fmt.Sprintf("h%d", i), "y"), Epoch: 5})
+		}
+		for i := 1; i <= c.dead; i++ {
+			row := Row{Member: member(fmt.Sprintf("h%d", i), "y"), Epoch: 6}
+			row.Member.Status = yuccahinge.StatusDead
+			r.Merge(2000, []Row{row})
+		}
+		tried := 0
+		for range rounds {
+			for _, m := range r.Next(3000) {
+				if m.Status == yuccahinge.StatusDead {
+					tried++
+				}
+			}
+		}
+		if tried > c.most || tried < c.least {
+			t.Errorf("with %d dead, %d of %d rounds tried one, want %d to %d", c.dead, tried, rounds, c.least, c.most)
+		}
+	}
+}
