Add cmd/soak: the decision parts of many hosts under random faults

One simulated clock, small fakes for network, platform, searchers and callers, no sockets and no goroutines. A run follows from its seed. 13 invariants are asserted as the run goes; 17 breaks each swap one decision for a wrong one.

--- /dev/null
+++ b/cmd/soak/print.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/yuccahinge/yuccahinge/cmd/soak/world"
+)
+
+func printBreaks() {
+	for _, b := range world.Breaks() {
+		fmt.Printf("%-20s %s; found by %v\n", b.Name, b.What, b.Invariants)
+	}
+}
+
+func printCounts(counts map[string]int) {
+	for _, what := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Printf("%8d %s\n", counts[what], what)
+	}
+}
+
+// isKnown reports whether a break has this name. No name breaks nothing.
+func isKnown(name string) bool {
+	return name == "" || slices.ContainsFunc(world.Breaks(), func(b world.Breakage) bool { return string(b.Name) == name })
+}
--- /dev/null
+++ b/cmd/soak/sched/sched_test.go
@@ -0,0 +1,41 @@
+package sched
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// sleeper runs from an instant on, unless it is gone.
+type sleeper struct {
+	from yuccahinge.Millis
+	gone bool
+}
+
+func (s *sleeper) Runs(yuccahinge.Millis) (yuccahinge.Millis, bool) { return s.from, !s.gone }
+
+func TestOrderPauseAndDeath(t *testing.T) {
+	var q Queue
+	var got []string
+	add := func(at yuccahinge.Millis, owner Owner, name string) {
+		q.At(at, owner, func() { got = append(got, name) })
+	}
+	add(2, nil, "second")
+	add(1, nil, "first")
+	add(1, &sleeper{from: 5}, "woken")
+	add(1, &sleeper{from: 5}, "woken after")
+	add(1, &sleeper{gone: true}, "dead")
+	add(5, nil, "last")
+	for {
+		_, run, ok := q.Next()
+		if !ok {
+			break
+		}
+		run()
+	}
+	want := []string{"first", "second", "last", "woken", "woken after"}
+	if !slices.Equal(got, want) || q.Now() != 5 {
+		t.Fatalf("got %q at %v, want %q at 5", got, q.Now(), want)
+	}
+}
--- /dev/null
+++ b/cmd/soak/world/tickets.go
@@ -0,0 +1,218 @@
+package world
+
+import (
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/roster"
+	"github.com/yuccahinge/yuccahinge/spread"
+)
+
+// exchange is what hosts tell each other, both ways.
+type exchange struct {
+	row     roster.Row
+	rows    []roster.Row
+	sum     uint64
+	notices []notice
+	request spread.Request
+	reply   spread.Reply
+}
+
+const (
+	exchangeTimeoutMs = 500
+	deltaRows         = 16
+	// compareRowsMs is the least time between two comparisons of whole rosters.
+	compareRowsMs = 5 * yuccahinge.Second
+)
+
+func (h *host) exchangeAll() {
+	if h.state() == nil {
+		h.callSeeds()
+	}
+	for _, m := range h.roster.Next(h.w.now()) {
+		h.exchange(yuccahinge.HostID(m.ID))
+	}
+}
+
+// exchange compares the states of two hosts.
+func (h *host) exchange(id yuccahinge.HostID) {
+	r := h.spread.Ask(h.w.now())
+	r.Quiet = h.w.is(DropAntiEntropy)
+	h.send(id, r)
+}
+
+// send opens an exchange with a peer.
+func (h *host) send(id yuccahinge.HostID, r spread.Request) {
+	h.w.check.count("exchange")
+	if r.Parcel != nil {
+		h.w.check.count("exchange with a parcel")
+	}
+	out := h.message(id)
+	out.request = r
+	asked := h.w.now()
+	serve := func(to *host, answer func(any)) {
+		to.hear(out)
+		reply, decisions := to.spread.Answer(to.w.now(), r)
+		to.act(decisions)
+		back := to.message(h.id)
+		back.reply = reply
+		answer(back)
+	}
+	h.call(id, exchangeTimeoutMs, serve, func(reply any) {
+		now := h.w.now()
+		back, ok := reply.(*exchange)
+		if !ok {
+			h.changed(h.roster.Failed(now, id))
+			return
+		}
+		h.hear(back)
+		h.act(h.spread.Replied(now, r, back.reply))
+		h.heardAt = max(h.heardAt, asked)
+		h.compared(asked)
+	})
+}
+
+func (h *host) message(to yuccahinge.HostID) *exchange {
+	now := h.w.now()
+	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.liveNotices(now)}
+}
+
+func (h *host) hear(e *exchange) {
+	now := h.w.now()
+	h.changed(h.roster.Heard(now, e.row))
+	h.changed(h.roster.Merge(now, e.rows))
+	if e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs {
+		h.comparedRows = now
+		h.compareRows(yuccahinge.HostID(e.row.Member.ID))
+	}
+	for _, n := range e.notices {
+		h.hearNotice(n)
+	}
+}
+
+// rows is a part of a comparison of whole rosters.
+type rows struct {
+	own  roster.Row
+	sums [roster.Buckets]uint64
+	rows []roster.Row
+}
+
+// compareRows fetches the rows that differ from a peer's, and sends it those of this host.
+func (h *host) compareRows(id yuccahinge.HostID) {
+	ask := h.rows(nil)
+	h.call(id, exchangeTimeoutMs, ask.answer, func(reply any) {
+		got, ok := reply.(*rows)
+		if !ok {
+			return
+		}
+		now := h.w.now()
+		h.changed(h.roster.Heard(now, got.own))
+		h.changed(h.roster.Merge(now, got.rows))
+		back := h.rows(h.roster.Rows(got.sums))
+		if len(back.rows) > 0 && back.sums != got.sums {
+			h.call(id, exchangeTimeoutMs, back.answer, func(any) {})
+		}
+	})
+}
+
+func (h *host) rows(list []roster.Row) *rows {
+	return &rows{own: h.roster.Own(h.w.now()), sums: h.roster.Sums(), rows: list}
+}
+
+func (r *rows) answer(to *host, answer func(any)) {
+	now := to.w.now()
+	to.changed(to.roster.Heard(now, r.own))
+	to.changed(to.roster.Merge(now, r.rows))
+	answer(to.rows(to.roster.Rows(r.sums)))
+}
+
+// act carries out the decisions of the ticket parts.
+func (h *host) act(decisions []spread.Decision) {
+	for _, d := range decisions {
+		switch d.Kind {
+		case spread.Adopt:
+			h.adopt(d.State)
+		case spread.Exchange:
+			h.send(d.Peer, h.spread.Ask(h.w.now()))
+		case spread.Deliver:
+			h.send(d.Peer, spread.Request{Summary: h.spread.Summary(h.w.now()), Parcel: d.Parcel})
+		case spread.ReadTicket:
+			h.readTicket(d.Number)
+		case spread.ReadState:
+			h.readState()
+		default:
+			h.note("", "%s %d from %q: %s", d.Kind, d.Number, d.Peer, d.Reason)
+		}
+	}
+}
+
+// adopt puts a state in force.
+func (h *host) adopt(s *yuccahinge.State) {
+	h.note(string(h.id), "ticket %d is in force with digest %.8s", s.Ticket, s.Digest)
+	h.w.check.adopted(h, s)
+	h.log = append(h.log, publication{at: h.w.now(), number: s.Ticket})
+	if h.w.is(SwitchMaps) {
+		h.switchMaps(s)
+	}
+}
+
+// state returns the state in force.
+func (h *host) state() *yuccahinge.State { return h.spread.State() }
+
+func (h *host) readHead() {
+	if h.isReading {
+		return
+	}
+	h.isReading = true
+	h.w.ask(h, func() any { return h.w.head() }, func(reply any) {
+		h.isReading = false
+		head, ok := reply.(yuccahinge.TicketNumber)
+		if !ok {
+			return
+		}
+		if h.w.is(AcceptLowerTicket) && head < h.spread.Number() {
+			h.readLower()
+			return
+		}
+		h.act(h.spread.HeadRead(h.w.now(), head))
+	})
+}
+
+func (h *host) readTicket(n yuccahinge.TicketNumber) {
+	h.w.ask(h, func() any { return h.w.readTicket(n) }, func(reply any) {
+		t, _ := reply.(*yuccahinge.Ticket)
+		if t == nil {
+			h.act(h.spread.TicketFailed(h.w.now(), n, "unreadable"))
+			return
+		}
+		h.act(h.spread.TicketRead(h.w.now(), t))
+	})
+}
+
+func (h *host) readState() {
+	h.w.ask(h, func() any { return h.w.readState() }, func(reply any) {
+		if s, _ := reply.(*yuccahinge.State); s != nil {
+			h.act(h.spread.StateRead(h.w.now(), s))
+		}
+	})
+}
+
+func (h *host) readList() {
+	h.w.ask(h, func() any { return h.w.list() }, func(reply any) {
+		if list, ok := reply.([]yuccahinge.Member); ok {
+			h.changed(h.roster.Listed(h.w.now(), list))
+		}
+	})
+}
+
+// readLower is the wrong decision of AcceptLowerTicket: the platform is believed when it goes backwards.
+func (h *host) readLower() {
+	h.w.ask(h, func() any { return h.w.readState() }, func(reply any) {
+		s, _ := reply.(*yuccahinge.State)
+		if s == nil || s.Ticket >= h.spread.Number() {
+			return
+		}
+		old := h.spread
+		h.spread = spread.Spread{Self: old.Self, Domain: old.Domain, Seed: old.Seed, PeriodMs: old.PeriodMs}
+		h.spread.Tick(h.w.now(), h.roster.Members())
+		h.act(h.spread.StateRead(h.w.now(), s))
+	})
+}
