--- a/query/notice.go
+++ b/query/notice.go
@@ -16,7 +16,7 @@
 	case yuccahinge.NoticePoisoned:
 		e.hearPoisoned(n)
 	case yuccahinge.NoticeDraining:
-		if e.Leave != nil && e.Leave.Mark(yuccahinge.SearcherID(n.Key), n.Incarnation) {
+		if e.Leave != nil && e.Leave.Mark(e.now(), yuccahinge.SearcherID(n.Key), n.Incarnation) {
 			e.record(yuccahinge.Event{Code: event.SearcherDraining, Searcher: yuccahinge.SearcherID(n.Key), Detail: "heard"})
 		}
 	}
@@ -42,22 +42,24 @@
 }
 
 // learn takes what a reply says of its searcher.
-func (e *Engine) learn(id yuccahinge.SearcherID, r *yuccahinge.ShardResult, version yuccahinge.IndexVersion) {
+func (e *Engine) learn(end *ended, version yuccahinge.IndexVersion) {
+	id, r := end.searcher, end.result
 	if r.Reply == nil {
 		return
 	}
-	e.Report(id, &r.Reply.Load)
+	e.Report(end.sent, id, &r.Reply.Load)
 	if e.Ready != nil && r.Reason == yuccahinge.ReasonVersion {
 		e.Ready.Lacks(id, version)
 	}
 }
 
-// Report takes what a searcher says of itself, with a reply or outside of queries.
-func (e *Engine) Report(id yuccahinge.SearcherID, l *yuccahinge.LoadReport) {
+// Report takes what a searcher says of itself, with a reply or outside of queries. Asked is when the
+// searcher was asked.
+func (e *Engine) Report(asked yuccahinge.Millis, id yuccahinge.SearcherID, l *yuccahinge.LoadReport) {
 	if e.Ready != nil {
 		e.Ready.Observe(id, l)
 	}
-	if e.Leave != nil && e.Leave.See(id, l) {
+	if e.Leave != nil && e.Leave.See(e.now(), asked, id, l) {
 		e.tellDraining(id, l.Incarnation)
 	}
 }
--- a/tier/tier.go
+++ b/tier/tier.go
@@ -108,10 +108,10 @@
 }
 
 // heard takes a searcher's report that came outside of queries.
-func (t *Tier) heard(id yuccahinge.SearcherID, r *yuccahinge.LoadReport) {
+func (t *Tier) heard(asked yuccahinge.Millis, id yuccahinge.SearcherID, r *yuccahinge.LoadReport) {
 	t.Route.Report(t.Engine.Clock.Now(), id, r)
 	if t.Heard != nil {
 		t.Heard(id, r)
 	}
-	t.Engine.Report(id, r)
+	t.Engine.Report(asked, id, r)
 }
