Ignore stamps whose wall time no clock shows

Cause: TestStampsGrowAlongCalls failed since the hybrid clock packs a stamp into one word: its stamps of 2^60 us (the year 38503) do not fit 52 bits. Ruled out: a wider clock, which needs a lock or an allocation for each stamp. Change: Observe ignores wall times outside of the packed range, so that a corrupt stamp can't stand in every later one; a test for it.

--- a/hybrid/hybrid.go
+++ b/hybrid/hybrid.go
@@ -11,6 +11,9 @@
 // carries into the wall time, which keeps the order.
 const countBits = 12
 
+// maxWall bounds the wall time in a packed stamp, in microseconds: the year 2112.
+const maxWall = 1 << (64 - countBits)
+
 // Clock issues stamps that grow on this host and, through Observe, along every message that it receives.
 // The zero value is ready to use; its methods take no lock.
 type Clock struct {
@@ -31,8 +34,12 @@
 	}
 }
 
-// Observe raises the clock to a stamp received from another host.
+// Observe raises the clock to a stamp received from another host. It ignores a wall time that no clock
+// shows, which would otherwise stand in all later stamps of every host.
 func (c *Clock) Observe(s yuccahinge.Stamp) {
+	if s.Wall < 0 || s.Wall >= maxWall {
+		return
+	}
 	seen := pack(s)
 	for {
 		last := c.last.Load()
--- a/hybrid/hybrid_test.go
+++ b/hybrid/hybrid_test.go
@@ -51,3 +51,13 @@
 		}
 	}
 }
+
+func TestObserveIgnoresImpossibleTimes(t *testing.T) {
+	var c Clock
+	for _, wall := range []int64{-1, maxWall, 1 << 60} {
+		c.Observe(yuccahinge.Stamp{Wall: wall})
+	}
+	if got := c.Next(5); got != (yuccahinge.Stamp{Wall: 5000}) {
+		t.Fatalf("stamp is %v, want the clock's own time", got)
+	}
+}
