--- a/node/leave.go
+++ b/node/leave.go
@@ -6,10 +6,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/drain"
 	"github.com/yuccahinge/yuccahinge/event"
 )
 
+// leastGrace stands for a grace of zero, for which the drain would take its default.
+const leastGrace = yuccahinge.Millis(1)
+
 // departure is the host's own drain as other goroutines see it.
 type departure struct {
 	phase atomic.Value // drain.Phase
@@ -24,7 +28,7 @@
 
 // drain takes the host from serving to done and cuts nothing in flight before the deadline.
 func (n *Node) drain(ctx context.Context) {
-	d := drain.Drain{Grace: n.Settings.Drain.GraceMs, Limit: n.Settings.Drain.DeadlineMs}
+	d := drain.Drain{Grace: max(n.Settings.Drain.GraceMs, leastGrace), Limit: n.Settings.Drain.DeadlineMs}
 	d.Start(n.clock.Now())
 	n.parts.keeper.Leave(ctx)
 	for {
--- a/node/serve.go
+++ b/node/serve.go
@@ -8,9 +8,6 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/event"
 )
 
 const (
@@ -18,8 +15,6 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds a caller's headers.
 	maxHeaderBytes = 16 << 10
-	// readyPoll is the time between two looks at whether the host is ready, for the time line.
-	readyPoll = 100 * time.Millisecond
 )
 
 // serve starts every part. They end with ctx.
@@ -30,7 +25,6 @@
 	g.Go(func() error { return p.tier.Run(ctx) })
 	g.Go(func() error { return serveHTTP(ctx, p.callers, n.ports.callers) })
 	g.Go(func() error { return serveHTTP(ctx, p.operators, n.ports.operators) })
-	g.Go(func() error { return n.tellReadiness(ctx) })
 	g.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
@@ -49,28 +43,3 @@
 	}
 	return err
 }
-
-// tellReadiness records when the host becomes ready or stops being so.
-func (n *Node) tellReadiness(ctx context.Context) error {
-	ticker := time.NewTicker(readyPoll)
-	defer ticker.Stop()
-	was := false
-	for {
-		if ok, why := n.ready(); ok != was {
-			was = ok
-			n.record(readinessCode(ok), why)
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-func readinessCode(ok bool) yuccahinge.EventCode {
-	if ok {
-		return event.ProcessReady
-	}
-	return event.ProcessUnready
-}
