Cut nothing when the host leaves, and say nothing of a claim that the front refuses to hear

Cause 1: at SIGTERM the daemon switched keep-alives off and later called Shutdown; both close connections that look idle, on which a caller may have written a request. Cause 2: the front answered notRun to a charge or lookup with a claim that it refused itself (too many in flight, bad body, bad id), while that claim may have run through another host; a caller would take a new claim and charge twice. Cause 3: the phase announced was published only after all peers had been told. Change: answers ask for close while leaving, the listener alone is closed, open connections are served until nothing has been in flight for the quiet time; refusals of requests that name a claim say unknown; peers are told beside the drain. Ruled out: refusing what arrives while closing (a running claim can't be told notRun).

--- a/entry/charge.go
+++ b/entry/charge.go
@@ -40,7 +40,7 @@
 func (f *Front) charge(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
 	var body json.RawMessage
 	if err := f.decode(w, r, &body); err != nil {
-		writeError(w, id, err)
+		writeError(w, id, unheard(r, err))
 		return
 	}
 	req := &yuccahinge.ChargeRequest{
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// unheard returns a refusal by the front itself, without the outcome notRun where the request names a claim: it may
+// have run, or run now, through another host.
+func unheard(r *http.Request, err error) error {
+	var e *yuccahinge.Error
+	if r.Header.Get("Claim") == "" && r.PathValue("claim") == "" || !errors.As(err, &e) {
+		return err
+	}
+	unsaid := *e
+	unsaid.Outcome = yuccahinge.Unknown
+	return &unsaid
+}
+
 func writeError(w http.ResponseWriter, id yuccahinge.RequestID, err error) {
 	var e *yuccahinge.Error
 	if !errors.As(err, &e) {
--- a/entry/front.go
+++ b/entry/front.go
@@ -27,6 +27,8 @@
 	Charger  charger
 	// Ready reports whether the balancer may send requests, and why not.
 	Ready func() (bool, string)
+	// Leaving reports whether answers should ask callers to close their connections; nil for never.
+	Leaving func() bool
 	// MaxBodyBytes bounds a body, ReadTimeout the time it takes to arrive, MaxDeadline what a caller may
 	// ask for, and MaxInFlight the requests served at once. Zero takes a default.
 	MaxBodyBytes int64
@@ -59,13 +61,16 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		now := f.inFlight.Add(1)
 		defer f.inFlight.Add(-1)
+		if f.Leaving != nil && f.Leaving() {
+			w.Header().Set("Connection", "close")
+		}
 		id, err := requestID(r)
 		if err != nil {
-			writeError(w, id, err)
+			writeError(w, id, unheard(r, err))
 			return
 		}
 		if now > int64(f.maxInFlight()) {
-			writeError(w, id, errCrowded)
+			writeError(w, id, unheard(r, errCrowded))
 			return
 		}
 		h(w, r, id)
--- a/node/leave.go
+++ b/node/leave.go
@@ -26,7 +26,6 @@
 func (n *Node) drain(ctx context.Context) {
 	d := drain.Drain{Grace: n.Settings.Drain.GraceMs, Limit: n.Settings.Drain.DeadlineMs}
 	d.Start(n.clock.Now())
-	n.parts.keeper.Leave(ctx)
 	for {
 		phase := d.Step(n.clock.Now(), n.busy())
 		if phase != n.leave.now() {
@@ -54,14 +53,19 @@
 	n.record(event.ProcessDraining, string(phase))
 	switch phase {
 	case drain.Announced:
-		// Connections that stay open between requests would keep their callers here.
-		n.parts.callers.SetKeepAlivesEnabled(false)
+		// Peers that can't be reached must not hold up the drain.
+		go n.parts.keeper.Leave(ctx)
 	case drain.Closing:
 		n.parts.desk.Seal()
-		go func() { _ = n.parts.callers.Shutdown(ctx) }()
+		// Open connections stay: a caller may have written a request on one that looks idle. The front asks
+		// callers to close them with each answer.
+		_ = n.ports.callers.Close()
 	}
 }
 
+// leaving reports whether the drain has begun.
+func (n *Node) leaving() bool { return n.leave.now() != drain.Serving }
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/node/serve.go
+++ b/node/serve.go
@@ -38,12 +38,12 @@
 	})
 }
 
-// serveHTTP serves until ctx ends. A server that was shut down before waits for ctx too.
+// serveHTTP serves until ctx ends, on the connections that are open if the listener was closed before.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
 	defer stop()
 	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		<-ctx.Done()
 		return nil
 	}
--- a/proof/drain_test.go
+++ b/proof/drain_test.go
@@ -1,10 +1,18 @@
 package proof
 
 import (
+	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
 )
 
+// keptConnections is the number of callers that keep a connection to the host that leaves.
+const keptConnections = 24
+
 func TestTermUnderLoadCutsNothing(t *testing.T) {
 	s := newSite(t, 4)
 	l := startLoad(s)
@@ -32,3 +40,67 @@
 	l.progress(100, 20)
 	l.end(t)
 }
+
+// TestTermCutsNothingOnKeptConnections sends without a pause on kept connections to one host, as a balancer does, until
+// the host says that it is not ready.
+func TestTermCutsNothingOnKeptConnections(t *testing.T) {
+	s := newSite(t, 3)
+	leaving := s.hosts[1]
+	var ready atomic.Bool
+	ready.Store(true)
+	var answered atomic.Int64
+	var group sync.WaitGroup
+	for range keptConnections {
+		group.Go(func() {
+			kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: limit}
+			defer kept.CloseIdleConnections()
+			for ready.Load() {
+				r := leaving.search(t.Context(), kept)
+				if r.Err != nil || r.Outcome != yuccahinge.Complete {
+					t.Errorf("search got %+v", r)
+				}
+				answered.Add(1)
+			}
+		})
+	}
+	eventually(t, "the searches are under way", func() bool { return answered.Load() > 20*keptConnections })
+	leaving.signal(t, syscall.SIGTERM)
+	eventually(t, "the host is not ready", func() bool { return !isReady(leaving) })
+	before := answered.Load()
+	eventually(t, "the searches go on", func() bool { return answered.Load() > before+5*keptConnections })
+	ready.Store(false)
+	group.Wait()
+	if code := leaving.exit(t); code != 0 {
+		t.Errorf("the host ended with %d, want 0", code)
+	}
+}
+
+// TestTermServesWhatWaitsInItsConnections writes requests on kept connections while the host is stopped, so that the
+// signal and the requests reach it at once.
+func TestTermServesWhatWaitsInItsConnections(t *testing.T) {
+	s := newSite(t, 3)
+	leaving := s.hosts[1]
+	var kept []*rawCaller
+	for range keptConnections {
+		c := dial(t, leaving.member.CallerAddr)
+		c.write(t, dispatch)
+		if r := c.read(); r.Outcome != yuccahinge.Complete {
+			t.Fatalf("search got %+v", r)
+		}
+		kept = append(kept, c)
+	}
+	leaving.signal(t, syscall.SIGSTOP)
+	for _, c := range kept {
+		c.write(t, dispatch)
+	}
+	leaving.signal(t, syscall.SIGTERM)
+	leaving.signal(t, syscall.SIGCONT)
+	for _, c := range kept {
+		if r := c.read(); r.Err != nil || r.Outcome != yuccahinge.Complete {
+			t.Errorf("search got %+v", r)
+		}
+	}
+	if code := leaving.exit(t); code != 0 {
+		t.Errorf("the host ended with %d, want 0", code)
+	}
+}
