--- a/cmd/soak/world/check.go
+++ b/cmd/soak/world/check.go
@@ -220,7 +220,7 @@
 }
 
 // knows takes that a host learns that a life of a searcher leaves.
-func (c *check) knows(h *host, _ yuccahinge.SearcherID, life yuccahinge.Incarnation) {
+func (c *check) knows(h *host, life yuccahinge.Incarnation) {
 	if c.known[life] == nil {
 		c.known[life] = make(map[*host]yuccahinge.Millis)
 	}
--- a/cmd/soak/world/notice.go
+++ b/cmd/soak/world/notice.go
@@ -1,30 +1,19 @@
 package world
 
 import (
-	"cmp"
-	"fmt"
-	"slices"
 	"strconv"
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/leave"
 )
 
-// notice is a fact that spreads between hosts until its time has passed.
-type notice struct {
-	key  noticeKey
-	left yuccahinge.Millis
-}
-
-type noticeKey struct {
-	kind        yuccahinge.NoticeKind
-	key         string
-	incarnation yuccahinge.Incarnation
-}
-
 const (
 	drainingTTL = 60 * yuccahinge.Second
-	// tellNow is the number of hosts of the own domain that are told at once.
+	// noticeRows bounds the notices that ride along on a message.
+	noticeRows = 32
+	// tellEveryMs is the least time between two rounds that spread new notices at once.
+	tellEveryMs = 100
+	// tellNow is the number of hosts of the own domain in such a round.
 	tellNow = 3
 	// pollMs is the time between two reports that a host asks a searcher for.
 	pollMs = 10 * yuccahinge.Second
@@ -35,66 +24,72 @@
 	h.ready.Observe(r.Searcher, r)
 	if h.leave.See(h.w.now(), asked, r.Searcher, r) {
 		h.hearsLeaving(r.Searcher, r.Incarnation)
-		h.tell(notice{noticeKey{yuccahinge.NoticeDraining, string(r.Searcher), r.Incarnation}, drainingTTL})
+		h.tell(yuccahinge.Notice{
+			Kind: yuccahinge.NoticeDraining, Key: string(r.Searcher), Incarnation: r.Incarnation, TTLMs: drainingTTL,
+		})
 	}
 }
 
 func (h *host) hearsLeaving(id yuccahinge.SearcherID, life yuccahinge.Incarnation) {
-	h.w.check.knows(h, id, life)
+	h.w.check.knows(h, life)
 	h.note(string(id), "knows that %s leaves", life)
 }
 
-// hearNotice takes a notice from a peer, and passes it on when it is news.
-func (h *host) hearNotice(n notice) {
+// hearNotice takes a notice from a peer or the membership list, and passes it on when it is news.
+func (h *host) hearNotice(n yuccahinge.Notice) {
 	now := h.w.now()
-	if _, ok := h.notices[n.key]; ok {
+	if !h.book.Add(now, n) {
 		return
 	}
-	switch n.key.kind {
+	switch n.Kind {
 	case yuccahinge.NoticeDraining:
-		id := yuccahinge.SearcherID(n.key.key)
-		if h.leave.Mark(now, id, n.key.incarnation) {
-			h.hearsLeaving(id, n.key.incarnation)
+		id := yuccahinge.SearcherID(n.Key)
+		if h.leave.Mark(now, id, n.Incarnation) {
+			h.hearsLeaving(id, n.Incarnation)
 		}
 	case yuccahinge.NoticePoisoned:
-		f, err := strconv.ParseUint(n.key.key, 16, 64)
+		f, err := strconv.ParseUint(n.Key, 16, 64)
 		if err == nil {
-			h.poison.Confirm(now, yuccahinge.Fingerprint(f), n.left)
+			h.poison.Confirm(now, yuccahinge.Fingerprint(f), n.TTLMs)
 		}
 	}
-	h.tell(n)
+	h.tellSoon(now)
 }
 
-// tell spreads a notice: to some hosts at once, and to all with the exchanges that follow.
-func (h *host) tell(n notice) {
-	h.notices[n.key] = h.w.now() + n.left
-	if h.w.is(KeepNoticesBack) {
+// tell spreads a notice of this host's own.
+func (h *host) tell(n yuccahinge.Notice) {
+	now := h.w.now()
+	if h.book.Add(now, n) {
+		h.tellSoon(now)
+	}
+}
+
+// tellSoon sends new notices to some hosts at once, unless that has just been done: then they ride along with
+// the exchanges that follow.
+func (h *host) tellSoon(now yuccahinge.Millis) {
+	if now-h.told < tellEveryMs || h.w.is(KeepNoticesBack) {
 		return
 	}
+	h.told = now
 	for _, id := range h.spread.Some(tellNow) {
 		h.exchange(id)
 	}
 }
 
-// liveNotices returns the notices that still stand. One that has passed is remembered for as long again, since
-// another host, where it arrived later, may still tell of it.
-func (h *host) liveNotices(now yuccahinge.Millis) []notice {
-	var out []notice
-	for k, until := range h.notices {
-		if now > until+drainingTTL {
-			delete(h.notices, k)
-		}
-		if until > now {
-			out = append(out, notice{k, until - now})
-		}
+// riding returns the notices that go with a message.
+func (h *host) riding(now yuccahinge.Millis) []yuccahinge.Notice {
+	if h.w.is(KeepNoticesBack) {
+		return nil
 	}
-	slices.SortFunc(out, func(a, b notice) int {
-		return cmp.Compare(fmt.Sprint(a.key), fmt.Sprint(b.key))
-	})
+	return h.book.Delta(now, noticeRows)
+}
+
+// standing returns all notices, for a host that asks for them.
+func (h *host) standing(now yuccahinge.Millis) []yuccahinge.Notice {
 	if h.w.is(KeepNoticesBack) {
 		return nil
 	}
-	return out
+	return h.book.All(now)
 }
 
 // isLeaving reports whether a searcher is known to leave.
--- a/cmd/soak/world/query.go
+++ b/cmd/soak/world/query.go
@@ -29,6 +29,8 @@
 const (
 	// compareMs bounds the comparison with peers after a pause.
 	compareMs = 30
+	// freshPeers is the number of hosts of the own domain that are asked after a pause.
+	freshPeers = 2
 	// catchUpMs is the time between two looks at whether a ticket has arrived.
 	catchUpMs = 20
 )
@@ -54,8 +56,11 @@
 // askPeers begins the comparison. It ends without a reply after a while.
 func (h *host) askPeers() {
 	began := h.w.now()
-	for _, id := range h.spread.Some(tellNow) {
+	for i, id := range h.spread.Some(freshPeers) {
 		h.exchange(id)
+		if i == 0 {
+			h.compareRows(id, true)
+		}
 	}
 	h.after(compareMs, func() { h.compared(began) })
 }
@@ -79,7 +84,7 @@
 // admit waits for the ticket that the caller asks for, and then lets the query in.
 func (q *query) admit() {
 	h, now := q.host, q.host.w.now()
-	h.notice(now)
+	h.noticePause(now)
 	h.firstSince(h.pause, q.arrived)
 	if h.isStale {
 		h.compare(q)
@@ -195,8 +200,8 @@
 		return false
 	}
 	h.w.check.count("query quarantined")
-	key := noticeKey{kind: yuccahinge.NoticePoisoned, key: strconv.FormatUint(uint64(q.print), 16)}
-	h.hearNotice(notice{key, h.poison.Hold()})
+	key := strconv.FormatUint(uint64(q.print), 16)
+	h.tell(yuccahinge.Notice{Kind: yuccahinge.NoticePoisoned, Key: key, TTLMs: h.poison.Hold()})
 	return true
 }
 
--- a/cmd/soak/world/tickets.go
+++ b/cmd/soak/world/tickets.go
@@ -11,7 +11,7 @@
 	row     roster.Row
 	rows    []roster.Row
 	sum     uint64
-	notices []notice
+	notices []yuccahinge.Notice
 	request spread.Request
 	reply   spread.Reply
 }
@@ -72,7 +72,7 @@
 
 func (h *host) message(to yuccahinge.HostID) *exchange {
 	now := h.w.now()
-	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.liveNotices(now)}
+	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.riding(now)}
 }
 
 func (h *host) hear(e *exchange) {
@@ -81,7 +81,7 @@
 	h.changed(h.roster.Merge(now, e.rows))
 	if e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs {
 		h.comparedRows = now
-		h.compareRows(yuccahinge.HostID(e.row.Member.ID))
+		h.compareRows(yuccahinge.HostID(e.row.Member.ID), false)
 	}
 	for _, n := range e.notices {
 		h.hearNotice(n)
@@ -93,11 +93,16 @@
 	own  roster.Row
 	sums [roster.Buckets]uint64
 	rows []roster.Row
+	// notices are sent to a host that asks for them.
+	notices []yuccahinge.Notice
+	asks    bool
 }
 
-// compareRows fetches the rows that differ from a peer's, and sends it those of this host.
-func (h *host) compareRows(id yuccahinge.HostID) {
+// compareRows fetches the rows that differ from a peer's, and sends it those of this host. It may ask for all
+// notices too.
+func (h *host) compareRows(id yuccahinge.HostID, notices bool) {
 	ask := h.rows(nil)
+	ask.asks = notices
 	h.call(id, exchangeTimeoutMs, ask.answer, func(reply any) {
 		got, ok := reply.(*rows)
 		if !ok {
@@ -106,6 +111,9 @@
 		now := h.w.now()
 		h.changed(h.roster.Heard(now, got.own))
 		h.changed(h.roster.Merge(now, got.rows))
+		for _, n := range got.notices {
+			h.hearNotice(n)
+		}
 		back := h.rows(h.roster.Rows(got.sums))
 		if len(back.rows) > 0 && back.sums != got.sums {
 			h.call(id, exchangeTimeoutMs, back.answer, func(any) {})
@@ -121,7 +129,11 @@
 	now := to.w.now()
 	to.changed(to.roster.Heard(now, r.own))
 	to.changed(to.roster.Merge(now, r.rows))
-	answer(to.rows(to.roster.Rows(r.sums)))
+	back := to.rows(to.roster.Rows(r.sums))
+	if r.asks {
+		back.notices = to.standing(now)
+	}
+	answer(back)
 }
 
 // act carries out the decisions of the ticket parts.
@@ -178,12 +190,15 @@
 
 func (h *host) readTicket(n yuccahinge.TicketNumber) {
 	h.w.ask(h, func() any { return h.w.readTicket(n) }, func(reply any) {
-		t, _ := reply.(*yuccahinge.Ticket)
-		if t == nil {
-			h.act(h.spread.TicketFailed(h.w.now(), n, "unreadable"))
+		t, ok := reply.(*yuccahinge.Ticket)
+		switch {
+		case !ok:
 			return
+		case t == nil:
+			h.act(h.spread.TicketFailed(h.w.now(), n, true, "the platform lacks it"))
+		default:
+			h.act(h.spread.TicketRead(h.w.now(), t))
 		}
-		h.act(h.spread.TicketRead(h.w.now(), t))
 	})
 }
 
@@ -197,8 +212,17 @@
 
 func (h *host) readList() {
 	h.w.ask(h, func() any { return h.w.list() }, func(reply any) {
-		if list, ok := reply.([]yuccahinge.Member); ok {
-			h.changed(h.roster.Listed(h.w.now(), list))
+		list, ok := reply.([]yuccahinge.Member)
+		if !ok {
+			return
+		}
+		h.changed(h.roster.Listed(h.w.now(), list))
+		for _, m := range list {
+			if m.Role == yuccahinge.RoleSearcher {
+				h.hearNotice(yuccahinge.Notice{
+					Kind: yuccahinge.NoticeDraining, Key: m.ID, Incarnation: m.Incarnation, TTLMs: drainingTTL,
+				})
+			}
 		}
 	})
 }
--- a/probe/probe.go
+++ b/probe/probe.go
@@ -35,8 +35,8 @@
 type Probe struct {
 	States yuccahinge.StateHolder
 	Loader Loader
-	// Heard takes each report.
-	Heard func(id yuccahinge.SearcherID, r *yuccahinge.LoadReport)
+	// Heard takes each report and the instant at which it was asked for.
+	Heard func(id yuccahinge.SearcherID, asked yuccahinge.Millis, r *yuccahinge.LoadReport)
 	// Urgent returns the searchers that an index change waits for; nil for none.
 	Urgent func(name yuccahinge.ServiceName, s *yuccahinge.Service) []yuccahinge.SearcherID
 	// Round is called before each round; nil for nothing.
@@ -89,8 +89,9 @@
 func (p *Probe) ask(ctx context.Context, t target) {
 	ctx, cancel := context.WithTimeout(ctx, timeoutMs.Duration())
 	defer cancel()
+	asked := p.now()
 	if r, err := p.Loader.Load(ctx, t.id, t.s); err == nil {
-		p.Heard(t.id, r)
+		p.Heard(t.id, asked, r)
 	}
 }
 
--- a/query/notice.go
+++ b/query/notice.go
@@ -47,14 +47,19 @@
 	if r.Reply == nil {
 		return
 	}
+	e.Report(id, end.sent, &r.Reply.Load)
+	if e.Ready != nil && r.Reason == yuccahinge.ReasonVersion {
+		e.Ready.Lacks(id, version)
+	}
+}
+
+// Report takes what a searcher says of itself in reply to a call sent at the instant asked, of a query or not.
+func (e *Engine) Report(id yuccahinge.SearcherID, asked yuccahinge.Millis, l *yuccahinge.LoadReport) {
 	if e.Ready != nil {
-		e.Ready.Observe(id, &r.Reply.Load)
-		if r.Reason == yuccahinge.ReasonVersion {
-			e.Ready.Lacks(id, version)
-		}
+		e.Ready.Observe(id, l)
 	}
-	if e.Leave != nil && e.Leave.See(e.now(), end.sent, id, &r.Reply.Load) {
-		e.tellDraining(id, r.Reply.Load.Incarnation)
+	if e.Leave != nil && e.Leave.See(e.now(), asked, id, l) {
+		e.tellDraining(id, l.Incarnation)
 	}
 }
 
