Hosts that were cut off catch up with notices

A notice rides along on a bounded number of messages. A host that was cut off for 5 s came back when the rides were used up, and went on sending to a leaving searcher 10 s after its peers knew. Ruled out: more rides (a longer cut outlasts them too) and all notices with every message (bytes at all times for a rare need). Change: an exchange tells a hash of the notices that stand, and a host whose own differs asks for all of them, once a second at most.

--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -58,6 +58,7 @@
 	nextList     yuccahinge.Millis
 	nextPoll     yuccahinge.Millis
 	comparedRows yuccahinge.Millis
+	caughtUp     yuccahinge.Millis
 	isReading    bool
 	booted       bool
 	heardAt      yuccahinge.Millis // when the last call was sent that a peer replied to
--- a/cmd/soak/world/tickets.go
+++ b/cmd/soak/world/tickets.go
@@ -12,8 +12,10 @@
 	rows    []roster.Row
 	sum     uint64
 	notices []yuccahinge.Notice
-	request spread.Request
-	reply   spread.Reply
+	// noticeSum tells the notices that the sender knows from those of others.
+	noticeSum uint64
+	request   spread.Request
+	reply     spread.Reply
 }
 
 const (
@@ -21,6 +23,8 @@
 	deltaRows         = 16
 	// compareRowsMs is the least time between two comparisons of whole rosters.
 	compareRowsMs = 5 * yuccahinge.Second
+	// catchUpNoticesMs is the least time between two requests for all notices.
+	catchUpNoticesMs = 1 * yuccahinge.Second
 )
 
 func (h *host) exchangeAll() {
@@ -72,20 +76,31 @@
 
 func (h *host) message(to yuccahinge.HostID) *exchange {
 	now := h.w.now()
-	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.riding(now)}
+	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.riding(now), noticeSum: h.book.Sum(now)}
 }
 
 func (h *host) hear(e *exchange) {
 	now := h.w.now()
 	h.changed(h.roster.Heard(now, e.row))
 	h.changed(h.roster.Merge(now, e.rows))
-	if e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs {
-		h.comparedRows = now
-		h.compareRows(yuccahinge.HostID(e.row.Member.ID), false)
-	}
 	for _, n := range e.notices {
 		h.hearNotice(n)
 	}
+	h.compareSoon(now, e)
+}
+
+// compareSoon compares with a peer that believes something else of the hosts or has heard other notices.
+func (h *host) compareSoon(now yuccahinge.Millis, e *exchange) {
+	rows := e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs
+	notices := e.noticeSum != h.book.Sum(now) && now-h.caughtUp >= catchUpNoticesMs
+	if !rows && !notices {
+		return
+	}
+	h.comparedRows = now
+	if notices {
+		h.caughtUp = now
+	}
+	h.compareRows(yuccahinge.HostID(e.row.Member.ID), notices)
 }
 
 // rows is a part of a comparison of whole rosters.
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -16,6 +16,8 @@
 	deltaRows = 16
 	// compareEvery is the least time between two comparisons of whole rosters.
 	compareEvery = 5 * yuccahinge.Second
+	// catchUpEvery is the least time between two requests for all notices.
+	catchUpEvery = 1 * yuccahinge.Second
 	// compareRows bounds the rows of one comparison.
 	compareRows = 4096
 )
@@ -91,10 +93,11 @@
 
 func (k *Keeper) gossip(now yuccahinge.Millis, to yuccahinge.HostID) gossip {
 	return gossip{
-		From:    k.roster.Own(now),
-		Rows:    k.roster.Delta(to, deltaRows),
-		Sum:     k.roster.Sum(),
-		Notices: k.book.Delta(now, noticeRows),
+		From:      k.roster.Own(now),
+		Rows:      k.roster.Delta(to, deltaRows),
+		Sum:       k.roster.Sum(),
+		Notices:   k.book.Delta(now, noticeRows),
+		NoticeSum: k.book.Sum(now),
 	}
 }
 
@@ -113,7 +116,7 @@
 	calls := k.takeGossip(now, &reply.Gossip)
 	reply.Answer.Summary.Host = yuccahinge.HostID(reply.Gossip.From.Member.ID)
 	k.decide(k.spread.Replied(now, request.Ask, reply.Answer))
-	k.compareSoon(now, reply.Gossip.From.Member, reply.Gossip.Sum)
+	k.compareSoon(now, &reply.Gossip)
 	k.mu.Unlock()
 	runAll(calls)
 }
@@ -153,14 +156,21 @@
 	return reply, nil
 }
 
-// compareSoon starts a comparison of the whole roster with a peer that believes something else. The caller
-// holds the lock.
-func (k *Keeper) compareSoon(now yuccahinge.Millis, peer yuccahinge.Member, sum uint64) {
-	if sum == k.roster.Sum() || now-k.compared < compareEvery {
+// compareSoon starts a comparison with a peer that believes something else of the hosts or has heard other notices:
+// notices ride along a few times only, and a host that was cut off meanwhile has missed them. The caller holds
+// the lock.
+func (k *Keeper) compareSoon(now yuccahinge.Millis, g *gossip) {
+	rows := g.Sum != k.roster.Sum() && now-k.compared >= compareEvery
+	notices := g.NoticeSum != k.book.Sum(now) && now-k.caughtUp >= catchUpEvery
+	if !rows && !notices {
 		return
 	}
 	k.compared = now
-	k.start(func() { _ = k.compare(k.ctx, peer, false) })
+	if notices {
+		k.caughtUp = now
+	}
+	peer := g.From.Member
+	k.start(func() { _ = k.compare(k.ctx, peer, notices) })
 }
 
 // compare fetches the rows that differ from a peer's, and sends it those of this host.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -64,6 +64,7 @@
 	history  history
 	heard    []func(yuccahinge.Notice)
 	compared yuccahinge.Millis
+	caughtUp yuccahinge.Millis
 	told     yuccahinge.Millis
 	reported map[string]yuccahinge.Millis
 
--- a/keeper/message.go
+++ b/keeper/message.go
@@ -20,6 +20,8 @@
 	Rows    []roster.Row        `json:"rows,omitempty"`
 	Sum     uint64              `json:"sum"`
 	Notices []yuccahinge.Notice `json:"notices,omitempty"`
+	// NoticeSum tells the notices that the sender knows from those of others.
+	NoticeSum uint64 `json:"noticeSum"`
 }
 
 type exchangeRequest struct {
--- a/notice/book.go
+++ b/notice/book.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccahinge/yuccahinge"
 )
 
@@ -17,6 +19,9 @@
 	maxTTL = 3600 * yuccahinge.Second
 	// maxKey bounds a notice's key and incarnation, in bytes.
 	maxKey = 256
+	// almostOver is the time left to a notice from which Sum leaves it out, since hosts see its end at different
+	// times.
+	almostOver = 5 * yuccahinge.Second
 	// DefaultSends is how often a notice rides along when Sends is zero.
 	DefaultSends = 12
 )
@@ -108,6 +113,17 @@
 	return out
 }
 
+// Sum returns a hash of the notices that stand for a while yet. Two hosts that have heard the same have equal sums.
+func (b *Book) Sum(now yuccahinge.Millis) uint64 {
+	var sum uint64
+	for key, e := range b.kept {
+		if now < e.until-almostOver {
+			sum ^= xxhash.Sum64String(string(key.kind) + "\x00" + key.key + "\x00" + string(key.incarnation))
+		}
+	}
+	return sum
+}
+
 // Tick drops the notices whose time is over and reports whether there were any.
 func (b *Book) Tick(now yuccahinge.Millis) bool {
 	dropped := false
--- a/notice/book_test.go
+++ b/notice/book_test.go
@@ -42,3 +42,19 @@
 		}
 	}
 }
+
+func TestSumTellsWhatAnotherHostMissed(t *testing.T) {
+	var here, there Book
+	drains := yuccahinge.Notice{Kind: yuccahinge.NoticeDraining, Key: "s1", Incarnation: "x", TTLMs: 60000}
+	here.Add(0, drains)
+	if here.Sum(1) == there.Sum(1) {
+		t.Fatal("the sums do not tell that a notice is missing")
+	}
+	there.Add(30, here.All(1)[0])
+	if here.Sum(31) != there.Sum(31) {
+		t.Fatal("the sums of equal books differ")
+	}
+	if here.Sum(59990) != there.Sum(59990) {
+		t.Fatal("the sums differ when the end is near")
+	}
+}
