--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -10,6 +10,7 @@
 	"github.com/yuccahinge/yuccahinge/hedge"
 	"github.com/yuccahinge/yuccahinge/leave"
 	"github.com/yuccahinge/yuccahinge/limit"
+	"github.com/yuccahinge/yuccahinge/notice"
 	"github.com/yuccahinge/yuccahinge/poison"
 	"github.com/yuccahinge/yuccahinge/ready"
 	"github.com/yuccahinge/yuccahinge/roster"
@@ -43,6 +44,7 @@
 	route  *route.Route
 	ready  ready.Ready
 	leave  *leave.Leave
+	book   notice.Book
 	limit  limit.Limit
 	poison poison.Poison
 	hedge  hedge.Hedge
@@ -56,6 +58,7 @@
 	nextList     yuccahinge.Millis
 	nextPoll     yuccahinge.Millis
 	comparedRows yuccahinge.Millis
+	caughtUp     yuccahinge.Millis
 	isReading    bool
 	booted       bool
 	heardAt      yuccahinge.Millis // when the last call was sent that a peer replied to
@@ -64,7 +67,7 @@
 	isStale      bool
 	staleAt      yuccahinge.Millis
 	inFlight     int
-	notices      map[noticeKey]yuccahinge.Millis
+	told         yuccahinge.Millis
 	attempts     []*attempt // open or ended lately
 	runs         map[yuccahinge.ClaimID]*run
 	serial       int
@@ -120,7 +123,6 @@
 	h.claims = claim.Table{Owner: h.id, Incarnation: self.Incarnation, Life: 10 * yuccahinge.Second, Keep: 20 * yuccahinge.Second}
 	h.claims.Seed[0] = byte(seed)
 	h.drain = drain.Drain{Limit: 20 * yuccahinge.Second}
-	h.notices = make(map[noticeKey]yuccahinge.Millis)
 	h.leave = new(leave.Leave)
 	h.runs = make(map[yuccahinge.ClaimID]*run)
 	w.note(string(h.id), string(h.id), "starts as %s", self.Incarnation)
@@ -158,7 +160,7 @@
 	for _, s := range h.w.slots {
 		if s != h.slot && found[s.domain] < seedsPerDomain {
 			found[s.domain]++
-			h.compareRows(s.id)
+			h.compareRows(s.id, true)
 			h.exchange(s.id)
 		}
 	}
@@ -175,9 +177,10 @@
 
 func (h *host) tick() {
 	now := h.w.now()
-	h.notice(now)
+	h.noticePause(now)
 	h.lastTick = now
 	h.changed(h.roster.Tick(now))
+	h.book.Tick(now)
 	h.spread.Tick(now, h.roster.Members())
 	if now >= h.nextList {
 		h.nextList = now + listMs
@@ -200,8 +203,8 @@
 	}
 }
 
-// notice finds out that the host was paused.
-func (h *host) notice(now yuccahinge.Millis) {
+// noticePause finds out that the host was paused.
+func (h *host) noticePause(now yuccahinge.Millis) {
 	if h.w.is(TrustPausedClock) || h.lastTick == 0 || now-h.lastTick <= pauseLimitMs {
 		return
 	}
--- a/cmd/soak/world/platform.go
+++ b/cmd/soak/world/platform.go
@@ -244,6 +244,14 @@
 			members = append(members, m)
 		}
 	}
+	for _, id := range append(w.searchersOf(searchService), w.searchersOf(chargeService)...) {
+		if s := w.searchers[id]; s.leaving {
+			members = append(members, yuccahinge.Member{
+				ID: string(id), Domain: s.domain, Role: yuccahinge.RoleSearcher,
+				Status: yuccahinge.StatusLeaving, Incarnation: s.incarnation(),
+			})
+		}
+	}
 	p := &w.platform
 	p.lists = append(p.lists, memberList{at: w.now(), members: members})
 	if len(p.lists) > 64 {
--- a/cmd/soak/world/tickets.go
+++ b/cmd/soak/world/tickets.go
@@ -11,9 +11,11 @@
 	row     roster.Row
 	rows    []roster.Row
 	sum     uint64
-	notices []notice
-	request spread.Request
-	reply   spread.Reply
+	notices []yuccahinge.Notice
+	// noticeSum tells the notices that the sender knows from those of others.
+	noticeSum uint64
+	request   spread.Request
+	reply     spread.Reply
 }
 
 const (
@@ -21,6 +23,8 @@
 	deltaRows         = 16
 	// compareRowsMs is the least time between two comparisons of whole rosters.
 	compareRowsMs = 5 * yuccahinge.Second
+	// catchUpNoticesMs is the least time between two requests for all notices.
+	catchUpNoticesMs = 1 * yuccahinge.Second
 )
 
 func (h *host) exchangeAll() {
@@ -72,20 +76,31 @@
 
 func (h *host) message(to yuccahinge.HostID) *exchange {
 	now := h.w.now()
-	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.liveNotices(now)}
+	return &exchange{row: h.roster.Own(now), rows: h.roster.Delta(to, deltaRows), sum: h.roster.Sum(), notices: h.riding(now), noticeSum: h.book.Sum(now)}
 }
 
 func (h *host) hear(e *exchange) {
 	now := h.w.now()
 	h.changed(h.roster.Heard(now, e.row))
 	h.changed(h.roster.Merge(now, e.rows))
-	if e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs {
-		h.comparedRows = now
-		h.compareRows(yuccahinge.HostID(e.row.Member.ID))
-	}
 	for _, n := range e.notices {
 		h.hearNotice(n)
 	}
+	h.compareSoon(now, e)
+}
+
+// compareSoon compares with a peer that believes something else of the hosts or has heard other notices.
+func (h *host) compareSoon(now yuccahinge.Millis, e *exchange) {
+	rows := e.sum != h.roster.Sum() && now-h.comparedRows >= compareRowsMs
+	notices := e.noticeSum != h.book.Sum(now) && now-h.caughtUp >= catchUpNoticesMs
+	if !rows && !notices {
+		return
+	}
+	h.comparedRows = now
+	if notices {
+		h.caughtUp = now
+	}
+	h.compareRows(yuccahinge.HostID(e.row.Member.ID), notices)
 }
 
 // rows is a part of a comparison of whole rosters.
@@ -93,11 +108,16 @@
 	own  roster.Row
 	sums [roster.Buckets]uint64
 	rows []roster.Row
+	// notices are sent to a host that asks for them.
+	notices []yuccahinge.Notice
+	asks    bool
 }
 
-// compareRows fetches the rows that differ from a peer's, and sends it those of this host.
-func (h *host) compareRows(id yuccahinge.HostID) {
+// compareRows fetches the rows that differ from a peer's, and sends it those of this host. It may ask for all
+// notices too.
+func (h *host) compareRows(id yuccahinge.HostID, notices bool) {
 	ask := h.rows(nil)
+	ask.asks = notices
 	h.call(id, exchangeTimeoutMs, ask.answer, func(reply any) {
 		got, ok := reply.(*rows)
 		if !ok {
@@ -106,6 +126,9 @@
 		now := h.w.now()
 		h.changed(h.roster.Heard(now, got.own))
 		h.changed(h.roster.Merge(now, got.rows))
+		for _, n := range got.notices {
+			h.hearNotice(n)
+		}
 		back := h.rows(h.roster.Rows(got.sums))
 		if len(back.rows) > 0 && back.sums != got.sums {
 			h.call(id, exchangeTimeoutMs, back.answer, func(any) {})
@@ -121,7 +144,11 @@
 	now := to.w.now()
 	to.changed(to.roster.Heard(now, r.own))
 	to.changed(to.roster.Merge(now, r.rows))
-	answer(to.rows(to.roster.Rows(r.sums)))
+	back := to.rows(to.roster.Rows(r.sums))
+	if r.asks {
+		back.notices = to.standing(now)
+	}
+	answer(back)
 }
 
 // act carries out the decisions of the ticket parts.
@@ -178,12 +205,15 @@
 
 func (h *host) readTicket(n yuccahinge.TicketNumber) {
 	h.w.ask(h, func() any { return h.w.readTicket(n) }, func(reply any) {
-		t, _ := reply.(*yuccahinge.Ticket)
-		if t == nil {
-			h.act(h.spread.TicketFailed(h.w.now(), n, true, "missing"))
+		t, ok := reply.(*yuccahinge.Ticket)
+		switch {
+		case !ok:
 			return
+		case t == nil:
+			h.act(h.spread.TicketFailed(h.w.now(), n, true, "the platform lacks it"))
+		default:
+			h.act(h.spread.TicketRead(h.w.now(), t))
 		}
-		h.act(h.spread.TicketRead(h.w.now(), t))
 	})
 }
 
@@ -197,8 +227,17 @@
 
 func (h *host) readList() {
 	h.w.ask(h, func() any { return h.w.list() }, func(reply any) {
-		if list, ok := reply.([]yuccahinge.Member); ok {
-			h.changed(h.roster.Listed(h.w.now(), list))
+		list, ok := reply.([]yuccahinge.Member)
+		if !ok {
+			return
+		}
+		h.changed(h.roster.Listed(h.w.now(), list))
+		for _, m := range list {
+			if m.Role == yuccahinge.RoleSearcher {
+				h.hearNotice(yuccahinge.Notice{
+					Kind: yuccahinge.NoticeDraining, Key: m.ID, Incarnation: m.Incarnation, TTLMs: drainingTTL,
+				})
+			}
 		}
 	})
 }
