--- a/bench/scene/scene.go
+++ b/bench/scene/scene.go
@@ -27,8 +27,8 @@
 	Marked func(phases []drive.Phase) []drive.Marked
 	// Judge compares the shipped side with the targets; it may be nil.
 	Judge func(r *Result) []Target
-	// Sides replaces the sides of the run; it may be nil.
-	Sides func(sides []Side) []Side
+	// Sides are the variants that the run compares in place of the baseline and the shipped side.
+	Sides []string
 }
 
 // Step is a fault at its time.
@@ -96,7 +96,9 @@
 	for _, t := range timers {
 		t.Stop()
 	}
-	return newReport(w, phases, samples, watch())
+	r := newReport(w, phases, samples, watch())
+	w.traceSamples(r)
+	return r
 }
 
 // startOf returns when the phase begins, from the start of the load.
@@ -108,5 +110,9 @@
 		}
 		sum += p.Seconds
 	}
-	return time.Duration(sum * float64(time.Second))
+	return seconds(sum)
+}
+
+func seconds(s float64) time.Duration {
+	return time.Duration(s * float64(time.Second))
 }
--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -24,13 +24,14 @@
 
 // options are the settings of a run.
 type options struct {
-	list, json, csv bool
-	scenario        string
-	service         string
-	side            string
-	seed            uint64
-	seconds         float64
-	medianMs        float64
+	list, json, csv, trace bool
+	scenario               string
+	service                string
+	sides                  []string
+	profile                string
+	seed                   uint64
+	seconds                float64
+	medianMs               float64
 }
 
 func main() {
@@ -40,12 +41,14 @@
 	flaggy.Bool(&o.list, "", "list", "list the scenarios and services")
 	flaggy.String(&o.scenario, "", "scenario", "scenario to run, or all")
 	flaggy.String(&o.service, "", "service", "service whose size is taken")
-	flaggy.String(&o.side, "", "side", "run this side only")
+	flaggy.StringSlice(&o.sides, "", "side", "sides to run: baseline, shipped, or variants joined by +")
 	flaggy.UInt64(&o.seed, "", "seed", "seed of arrivals and service times")
 	flaggy.Float64(&o.seconds, "", "seconds", "length of each measured phase")
 	flaggy.Float64(&o.medianMs, "", "median-ms", "median service time, 0 for the plan's")
 	flaggy.Bool(&o.json, "", "json", "print the result as JSON")
 	flaggy.Bool(&o.csv, "", "csv", "print the rows as CSV")
+	flaggy.Bool(&o.trace, "", "trace", "print the time line of the search at p99 under the fault")
+	flaggy.String(&o.profile, "", "cpu-profile", "file for a processor profile of the whole bench process")
 	flaggy.Parse()
 	os.Exit(run(&o))
 }
@@ -63,6 +66,12 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	stopProfile, err := startProfile(o.profile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer stopProfile()
 	for _, s := range scenes {
 		result, err := runScene(ctx, o, &s, plan)
 		if err != nil {
@@ -82,14 +91,11 @@
 		s.Adapt(&plan)
 	}
 	result := &scene.Result{Scenario: s.Name, Service: string(plan.Service), Seed: o.seed, Plan: plan}
-	all := sides(plan.Connections)
-	if s.Sides != nil {
-		all = s.Sides(all)
+	all, err := sides(o, s, plan.Connections)
+	if err != nil {
+		return nil, err
 	}
 	for _, side := range all {
-		if o.side != "" && !strings.HasPrefix(side.Name, o.side) {
-			continue
-		}
 		report, err := s.Run(ctx, side, plan, o.seed, o.seconds)
 		if err != nil {
 			return nil, err
@@ -126,6 +132,7 @@
 	for _, s := range scene.All() {
 		fmt.Printf("%-16s %s\n", s.Name, s.About)
 	}
+	fmt.Println("sides baseline, shipped, or the shipped one changed by", strings.Join(scene.VariantNames(), ", "))
 	for _, p := range fleet.Plans() {
 		fmt.Printf("service %-16s fan-out %d, prefers %s\n", p.Service, p.FanOut, p.Preference)
 	}
@@ -141,5 +148,5 @@
 		printCSV(r)
 		return
 	}
-	printTable(r)
+	printTable(r, o.trace)
 }
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -156,8 +156,8 @@
 	p.downs.Store(int64(len(p.down)))
 }
 
-// Suspect takes another host's word that the query lost several searchers, the last one at the shard.
-func (p *Poison) Suspect(now yuccahinge.Millis, f yuccahinge.Fingerprint, shard yuccahinge.ShardID) {
+// suspect takes another host's word that the query lost several searchers, the last one at the shard.
+func (p *Poison) suspect(now yuccahinge.Millis, f yuccahinge.Fingerprint, shard yuccahinge.ShardID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.edit(now, func(t map[yuccahinge.Fingerprint]entry) {
@@ -171,8 +171,8 @@
 	})
 }
 
-// Confirm takes another host's word that the query is poisoned. It reports whether that was news.
-func (p *Poison) Confirm(now yuccahinge.Millis, f yuccahinge.Fingerprint, hold yuccahinge.Millis) bool {
+// confirm takes another host's word that the query is poisoned. It reports whether that was news.
+func (p *Poison) confirm(now yuccahinge.Millis, f yuccahinge.Fingerprint, hold yuccahinge.Millis) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	news := false
@@ -186,9 +186,6 @@
 	return news
 }
 
-// Hold returns how long a confirmed query is refused.
-func (p *Poison) Hold() yuccahinge.Millis { return p.hold() }
-
 func (p *Poison) blame(now yuccahinge.Millis, t map[yuccahinge.Fingerprint]entry, l *Loss, burst bool) (Verdict, bool) {
 	e, ok := t[l.Query]
 	if e.confirmed {
--- a/poison/poison_test.go
+++ b/poison/poison_test.go
@@ -27,7 +27,7 @@
 	} {
 		var p Poison
 		if c.heard {
-			p.Suspect(1, 7, 0)
+			p.Hear(1, p.Notice(7, Suspect, 0))
 		}
 		for i, r := range c.requests {
 			id := yuccahinge.SearcherID(fmt.Sprint(i))
@@ -56,6 +56,30 @@
 	}
 }
 
+func TestNoticesCarryVerdicts(t *testing.T) {
+	for _, v := range []Verdict{Suspect, Confirmed} {
+		var here, there Poison
+		news := there.Hear(1, here.Notice(0xfeed, v, 12))
+		want := Resting
+		if v == Confirmed {
+			want = Confirmed
+		}
+		if got := there.Check(2, 0xfeed); got != want || news != (v == Confirmed) {
+			t.Errorf("%s is heard as %s, news %t", v, got, news)
+		}
+		if v == Suspect && there.Shard(0xfeed) != 12 {
+			t.Errorf("shard is %d", there.Shard(0xfeed))
+		}
+	}
+	var p Poison
+	for _, key := range []string{"", "zz", "1/x", "/", "1/99999999999"} {
+		p.Hear(1, yuccahinge.Notice{Kind: yuccahinge.NoticeSuspect, Key: key})
+	}
+	if p.table.Load() != nil {
+		t.Error("a malformed notice changed the table")
+	}
+}
+
 func TestSuspectRestsAfterTwoLosses(t *testing.T) {
 	var p Poison
 	p.Lost(1, loss("r", "a", true))
