--- a/notice/book.go
+++ b/notice/book.go
@@ -74,7 +74,7 @@
 
 func valid(n *yuccahinge.Notice) bool {
 	switch n.Kind {
-	case yuccahinge.NoticeDraining, yuccahinge.NoticePoisoned:
+	case yuccahinge.NoticeDraining, yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
 	default:
 		return false
 	}
--- a/tier/tier.go
+++ b/tier/tier.go
@@ -73,6 +73,8 @@
 	e.HedgeBudget = &t.hedges
 	e.Limiter = &t.limit
 	e.Poison = &t.poison
+	e.Canary = true
+	e.Domain = t.Domain
 	e.Ready = &t.Ready
 	e.Leave = &t.Leave
 	t.countHosts()
@@ -85,6 +87,7 @@
 		Loader: &t.Searchers,
 		Heard:  t.heard,
 		Urgent: t.Ready.Unknown,
+		Quiet:  t.quiet,
 		Round:  t.countHosts,
 		Clock:  t.Engine.Clock,
 	}
@@ -103,6 +106,10 @@
 	return t.share.Limit(t.Engine.Clock.Now(), s.Connections)
 }
 
+func (t *Tier) quiet(s *yuccahinge.Service) []yuccahinge.SearcherID {
+	return t.Route.Quiet(t.Engine.Clock.Now(), &s.Index)
+}
+
 func (t *Tier) countHosts() {
 	t.share.Observe(t.Engine.Clock.Now(), t.Hosts())
 }
