Hedge shards of unknown latency at a quarter of the deadline

The time line of a failed run shows four first attempts, three replies within 4 ms, no hedge and the answer at the deadline of 3 s: the hedger knew no latencies after two searches and gave no delay. Ruled out: the budget (no budgetSpent event) and ejection (no event either). Change: gather falls back to a quarter of the time to the deadline; a test for it.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -272,3 +272,23 @@
 		t.Fatalf("outcome %q, %v, want partial", a.Outcome, err)
 	}
 }
+
+// ignorant is a Hedger that knows no latencies.
+type ignorant struct{}
+
+func (ignorant) Delay(yuccahinge.Millis, yuccahinge.ServiceName, yuccahinge.ShardID) (yuccahinge.Millis, bool) {
+	return 0, false
+}
+
+func TestUnknownLatencyIsHedgedBeforeTheDeadline(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(1, 2), Deadline: 1000, Hedger: ignorant{}}
+	g.Start(0)
+	at, ok := g.NextTick()
+	if !ok || at >= g.Deadline {
+		t.Fatalf("next tick is at %v, want one before the deadline", at)
+	}
+	out := g.Tick(at)
+	if len(out) != 1 || out[0].Kind != Send || out[0].Cause != Hedge {
+		t.Fatalf("actions at %v are %v, want a hedge", at, out)
+	}
+}
--- a/gather/send.go
+++ b/gather/send.go
@@ -17,6 +17,8 @@
 	afterLossMs yuccahinge.Millis = 50
 	// hedgeShare is the part of the shards, as one in so many, that counts as the last.
 	hedgeShare = 4
+	// unknownHedgeShare is the share of the deadline after which a shard of unknown latency is hedged.
+	unknownHedgeShare = 4
 	// hedgeAgainMs is the pause after a hedge that the budget refused.
 	hedgeAgainMs yuccahinge.Millis = 5
 )
@@ -164,11 +166,14 @@
 	if g.Hedger == nil || g.Suspect {
 		return
 	}
-	if d, ok := g.Hedger.Delay(now, g.Service, s.spec.ID); ok {
-		s.hedgeAt = now + d
-		s.lateAt = s.hedgeAt + d
-		g.planHedge(s)
+	d, ok := g.Hedger.Delay(now, g.Service, s.spec.ID)
+	if !ok {
+		// A host that has just started knows no latencies yet, and would wait for a dead replica to the end.
+		d = (g.Deadline - now) / unknownHedgeShare
 	}
+	s.hedgeAt = now + d
+	s.lateAt = s.hedgeAt + d
+	g.planHedge(s)
 }
 
 func (g *Gather) pick(now yuccahinge.Millis, s *shard) (yuccahinge.SearcherID, bool) {
