--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -144,7 +144,7 @@
 	day := time.Unix(0, 0).UTC().AddDate(0, 0, s.rand.IntN(1<<20)).Format(time.DateOnly)
 	name := yuccahinge.CalendarName(fmt.Sprint("c", s.rand.IntN(5)))
 	return &yuccahinge.Ticket{
-		Number:    yuccahinge.TicketNumber(n),
+		Number: yuccahinge.TicketNumber(n),
 		// Tickets that touch different keys keep the two sides of a race apart.
 		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{name: {Holidays: []string{day}}},
 	}
@@ -379,11 +379,15 @@
 				s.blind[i] = i != seeing
 			}
 		},
-		"torn":     func(t *rapid.T) { s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].torn = rapid.Bool().Draw(t, "torn") },
-		"heal":     func(*rapid.T) { s.heal() },
-		"restart":  func(t *rapid.T) { s.restart(host.Draw(t, "host")) },
-		"sleep":    func(t *rapid.T) { s.hosts[host.Draw(t, "host")].asleep = s.now + 5*yuccahinge.Second },
-		"platform": func(t *rapid.T) { s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].down = rapid.Bool().Draw(t, "down") },
+		"torn": func(t *rapid.T) {
+			s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].torn = rapid.Bool().Draw(t, "torn")
+		},
+		"heal":    func(*rapid.T) { s.heal() },
+		"restart": func(t *rapid.T) { s.restart(host.Draw(t, "host")) },
+		"sleep":   func(t *rapid.T) { s.hosts[host.Draw(t, "host")].asleep = s.now + 5*yuccahinge.Second },
+		"platform": func(t *rapid.T) {
+			s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].down = rapid.Bool().Draw(t, "down")
+		},
 		"stale": func(t *rapid.T) {
 			s.replicas[rapid.IntRange(0, 1).Draw(t, "replica")].hidden = rapid.IntRange(0, 3).Draw(t, "hidden")
 		},
