Measure the memory of a host's parts at several sizes

Cause: the capacity page needs slopes, not points. Change: cmd/size builds each part at three sizes or more and fits a line.

--- /dev/null
+++ b/cmd/size/main.go
@@ -0,0 +1,18 @@
+// Command size prints the memory of an entry host's parts at several sizes as a Markdown table.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/yuccahinge/yuccahinge/bench/size"
+)
+
+func main() {
+	fmt.Println("| part | unit | measured | bytes a unit |")
+	fmt.Println("|---|---|---|---|")
+	for _, p := range size.Parts() {
+		l := p.Measure()
+		l.Print(os.Stdout)
+	}
+}
