--- /dev/null
+++ b/bench/scene/gone.go
@@ -0,0 +1,71 @@
+package scene
+
+import (
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/bench/drive"
+	"github.com/yuccahinge/yuccahinge/standin/back"
+)
+
+func frozen() Scene {
+	return Scene{
+		Name:   "frozen",
+		About:  "one searcher is frozen",
+		Phases: steady,
+		Steps:  atFault(func(w *World) { w.Fleet.Searchers[0].Change(back.Control{FreezeMs: forever}) }),
+		Judge:  judgeOneGone,
+	}
+}
+
+// forever is longer than any run.
+const forever = 3600 * yuccahinge.Second
+
+func killed() Scene {
+	return Scene{
+		Name:   "killed",
+		About:  "one searcher is killed",
+		Phases: steady,
+		Steps:  atFault(func(w *World) { w.Fleet.Searchers[0].Change(back.Control{Kill: true}) }),
+		Judge:  judgeOneGone,
+	}
+}
+
+func judgeOneGone(r *Result) []Target {
+	s := r.shipped()
+	before, fault := s.Row(phaseBefore), s.Row(phaseFault)
+	settled := s.Within(phaseFault, settleTime, time.Hour)
+	targets := []Target{
+		atLeast("coverage after 2 s", "1", settled.CoverageMean, 1),
+		atMost("p99 over fault-free", "<= 2", ratio(fault.P99, before.P99), 2),
+	}
+	if r.Plan.Preference == yuccahinge.PreferCoverage {
+		targets = append(targets, atMost("searches lacking a shard", "<= 2", float64(fault.Lacking), 2))
+	}
+	return targets
+}
+
+// awayTime is the time from a searcher's end to its cold start.
+const awayTime = time.Second
+
+func cold() Scene {
+	return Scene{
+		Name:   "cold",
+		About:  "one searcher restarts within 1 s and is cold: five times as slow for 5 s",
+		Phases: steady,
+		Steps: func(w *World, phases []drive.Phase) []Step {
+			s := w.Fleet.Searchers[0]
+			start := startOf(phases, phaseFault)
+			return []Step{
+				{At: start, Do: func() { s.Change(back.Control{Kill: true}) }},
+				{At: start + awayTime, Do: func() { s.Change(back.Control{Start: true}) }},
+			}
+		},
+		Judge: func(r *Result) []Target {
+			s := r.shipped()
+			return []Target{
+				atMost("p99 over fault-free", "<= 2", ratio(s.Row(phaseFault).P99, s.Row(phaseBefore).P99), 2),
+			}
+		},
+	}
+}
--- /dev/null
+++ b/bench/scene/lying.go
@@ -0,0 +1,30 @@
+package scene
+
+import (
+	"github.com/yuccahinge/yuccahinge/standin/back"
+)
+
+const (
+	// lyingEvery is how many shards share one searcher that lies.
+	lyingEvery = 5
+	lyingSlow  = 3
+)
+
+func lyingLoad() Scene {
+	return Scene{
+		Name:   "lyingLoad",
+		About:  "one searcher of every fifth shard is three times as slow and reports that it is idle",
+		Phases: steady,
+		Steps: atFault(func(w *World) {
+			for i := 0; i < len(w.Fleet.Searchers); i += lyingEvery * w.Plan.Replicas {
+				w.Fleet.Searchers[i].Fault(func(f *back.Faults) {
+					f.LoadReport, f.SlowFactor = back.ReportLie, lyingSlow
+				})
+			}
+		}),
+		Judge: func(r *Result) []Target {
+			baseline, s := r.Sides[0].Row(phaseFault), r.shipped().Row(phaseFault)
+			return []Target{atMost("p99 over baseline", "<= 1", ratio(s.P99, baseline.P99), 1)}
+		},
+	}
+}
--- /dev/null
+++ b/bench/scene/storm.go
@@ -0,0 +1,35 @@
+package scene
+
+import (
+	"time"
+
+	"github.com/yuccahinge/yuccahinge/bench/drive"
+)
+
+// restartEvery is the time from one host's restart to the next.
+const restartEvery = 500 * time.Millisecond
+
+func connectionStorm() Scene {
+	return Scene{
+		Name:   "connectionStorm",
+		About:  "all entry hosts restart in turn, half a second apart",
+		Phases: steady,
+		Steps: func(w *World, phases []drive.Phase) []Step {
+			start := startOf(phases, phaseFault)
+			var steps []Step
+			for i := range w.Plan.Hosts {
+				at := start + time.Duration(i)*restartEvery
+				steps = append(steps, Step{At: at, Do: func() { _ = w.Restart(i) }})
+			}
+			return steps
+		},
+		Judge: func(r *Result) []Target {
+			s := r.shipped()
+			return []Target{
+				atMost("connections at a searcher", "<= 25", float64(s.ConnectionsMost), float64(r.Plan.Connections)),
+				atMost("connections refused", "0", float64(s.ConnectionsRefused), 0),
+				atLeast("coverage", "1", s.Row(phaseFault).CoverageMean, 1),
+			}
+		},
+	}
+}
--- /dev/null
+++ b/bench/scene/straggle.go
@@ -0,0 +1,48 @@
+package scene
+
+import (
+	"github.com/yuccahinge/yuccahinge/standin/back"
+)
+
+const (
+	stragglerShare  = 0.01
+	stragglerFactor = 50
+)
+
+func straggle(w *World) {
+	for _, s := range w.Fleet.Searchers {
+		s.Fault(func(f *back.Faults) {
+			f.StragglerShare, f.StragglerFactor = stragglerShare, stragglerFactor
+		})
+	}
+}
+
+func stragglers() Scene {
+	return Scene{
+		Name:   "stragglers",
+		About:  "1% of calls take 50 times as long",
+		Phases: steady,
+		Steps:  atFault(straggle),
+		Judge:  judgeStragglers,
+	}
+}
+
+func judgeStragglers(r *Result) []Target {
+	s := r.shipped()
+	before, fault := s.Row(phaseBefore), s.Row(phaseFault)
+	return []Target{
+		atMost("p99 over fault-free", "<= 1.5", ratio(fault.P99, before.P99), 1.5),
+		atMost("attempts", "<= 1.05", fault.Attempts, 1.05),
+	}
+}
+
+func hedgeProtocol() Scene {
+	return Scene{
+		Name:   "hedgeProtocol",
+		About:  "stragglers with hedging over HTTP/1.1, the loser left or cancelled, and over clear-text HTTP/2",
+		Phases: steady,
+		Steps:  atFault(straggle),
+		Judge:  judgeStragglers,
+		Sides:  []string{"http1+leave", "http1+cancel", "h2c"},
+	}
+}
