Hedge blindly while nothing is known of a service's latency

Cause: proof's TestOneCutSearcherCostsNoShard failed once in a run of all tests: in its first searches, before 32 latencies are known, an attempt at the cut searcher was not hedged and waited for the deadline. Change: while the Hedger knows too little, a hedge goes after a quarter of the time left.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -192,6 +192,20 @@
 	}
 }
 
+type noDelay struct{}
+
+func (noDelay) Delay(yuccahinge.Millis, yuccahinge.ServiceName, yuccahinge.ShardID) (yuccahinge.Millis, bool) {
+	return 0, false
+}
+
+func TestHedgesBlindly(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(2, 2), Deadline: 100, Hedger: noDelay{}}
+	g.Start(0)
+	if at, _ := g.NextTick(); at != 25 || len(g.Tick(25)) != 2 {
+		t.Fatalf("hedge at %g", at)
+	}
+}
+
 func TestCoveredIsWrittenAsRanges(t *testing.T) {
 	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
 	for _, a := range slices.Clone(g.Start(0)) {
--- a/gather/send.go
+++ b/gather/send.go
@@ -17,6 +17,9 @@
 	afterLossMs yuccahinge.Millis = 50
 	// hedgeShare is the part of the shards, as one in so many, that counts as the last.
 	hedgeShare = 4
+	// blindShare is the part of the time left, as one in so many, after which a shard is hedged of whose
+	// latency nothing is known.
+	blindShare = 4
 	// hedgeAgainMs is the pause after a hedge that the budget refused.
 	hedgeAgainMs yuccahinge.Millis = 5
 )
@@ -164,11 +167,22 @@
 	if g.Hedger == nil || g.Suspect {
 		return
 	}
+	d := g.hedgeDelay(now, s)
+	s.hedgeAt = now + d
+	s.lateAt = s.hedgeAt + d
+	g.planHedge(s)
+}
+
+// hedgeDelay asks the Hedger. While that knows too little, a hedge waits for a part of the time left.
+func (g *Gather) hedgeDelay(now yuccahinge.Millis, s *shard) yuccahinge.Millis {
 	if d, ok := g.Hedger.Delay(now, g.Service, s.spec.ID); ok {
-		s.hedgeAt = now + d
-		s.lateAt = s.hedgeAt + d
-		g.planHedge(s)
+		return d
+	}
+	end := g.Deadline
+	if g.SoftDeadline > now {
+		end = min(end, g.SoftDeadline)
 	}
+	return (end - now) / blindShare
 }
 
 func (g *Gather) pick(now yuccahinge.Millis, s *shard) (yuccahinge.SearcherID, bool) {
