--- a/probe/probe_test.go
+++ b/probe/probe_test.go
@@ -37,7 +37,7 @@
 		loads := &counter{calls: map[yuccahinge.SearcherID]int{}}
 		p := &Probe{
 			States: fixed{state}, Loader: loads,
-			Heard: func(yuccahinge.SearcherID, *yuccahinge.LoadReport) {},
+			Heard: func(yuccahinge.Millis, yuccahinge.SearcherID, *yuccahinge.LoadReport) {},
 			Urgent: func(yuccahinge.ServiceName, *yuccahinge.Service) []yuccahinge.SearcherID {
 				return []yuccahinge.SearcherID{"s7"}
 			},
--- a/query/run.go
+++ b/query/run.go
@@ -23,14 +23,15 @@
 	calendar *yuccahinge.Calendar
 	results  chan ended
 	cancels  []context.CancelFunc
-	proven   bool
 }
 
 // ended is the end of one attempt.
 type ended struct {
 	attempt  yuccahinge.AttemptID
 	searcher yuccahinge.SearcherID
-	result   *yuccahinge.ShardResult
+	// sent is the instant before the call.
+	sent   yuccahinge.Millis
+	result *yuccahinge.ShardResult
 }
 
 func (q *run) prepare(arrived, deadline yuccahinge.Millis, verdict poison.Verdict) {
@@ -47,6 +48,7 @@
 		Deadline:       deadline,
 		EnoughCoverage: q.service.EnoughCoverage,
 		MaxHits:        q.service.MaxHits,
+		Domain:         e.Domain,
 		Suspect:        verdict == poison.Suspect,
 		Picker:         e.Picker,
 		Hedger:         e.Hedger,
@@ -61,6 +63,7 @@
 	if e.Poison != nil {
 		q.gather.Canary = e.Canary && !e.Poison.Proven(q.mark)
 		q.gather.Lost = q.lost
+		q.gather.SuspectShard = e.Poison.Shard(q.mark)
 	}
 }
 
@@ -107,23 +110,23 @@
 // take passes the end of an attempt on.
 func (q *run) take(r ended) []gather.Action {
 	e := q.engine
-	e.learn(r.searcher, r.result, q.index.Version)
-	if r.result.Outcome == yuccahinge.Ran && !q.proven {
-		q.proven = true
-		if e.Poison != nil {
-			e.Poison.Ran(e.now(), q.mark)
-		}
-	}
+	e.learn(&r, q.index.Version)
 	q.recordEnd(r)
 	return q.gather.Result(e.now(), r.attempt, r.result)
 }
 
-func (q *run) lost(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool {
-	confirmed := q.engine.Poison.Lost(now, q.mark, id, proven)
-	if confirmed {
-		q.engine.tellPoisoned(q.request, q.mark)
+func (q *run) lost(now yuccahinge.Millis, shard yuccahinge.ShardID, id yuccahinge.SearcherID, proven bool) bool {
+	verdict, news := q.engine.Poison.Lost(now, poison.Loss{
+		Query:    q.mark,
+		Request:  q.request.RequestID,
+		Shard:    shard,
+		Searcher: id,
+		Proven:   proven,
+	})
+	if news {
+		q.engine.tellOf(q.request, q.mark, verdict, shard)
 	}
-	return confirmed
+	return verdict == poison.Confirmed
 }
 
 func (q *run) act(calls context.Context, actions []gather.Action) {
@@ -157,8 +160,9 @@
 }
 
 func (q *run) call(ctx context.Context, attempt yuccahinge.AttemptID, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) {
+	sent := q.engine.now()
 	res := q.engine.Caller.Query(ctx, id, q.index.Searchers[id], r)
-	q.results <- ended{attempt, id, &res}
+	q.results <- ended{attempt, id, sent, &res}
 }
 
 // cancel gives an attempt up. Over HTTP/1.1 that closes its connection, which the policy may forbid.
@@ -180,7 +184,7 @@
 	defer cancel()
 	for q.gather.Open() > 0 {
 		r := <-q.results
-		q.engine.learn(r.searcher, r.result, q.index.Version)
+		q.engine.learn(&r, q.index.Version)
 		q.gather.Result(q.engine.now(), r.attempt, r.result)
 	}
 }
@@ -195,6 +199,9 @@
 		e.record(yuccahinge.Event{Code: event.InvariantBroken, Request: q.request.RequestID, Service: q.request.Service, Detail: err.Error()})
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepGather, Message: "the answer broke an invariant", Err: err}
 	}
+	if e.Poison != nil && answer.Outcome == yuccahinge.Complete {
+		e.Poison.Clear(e.now(), q.mark)
+	}
 	for _, id := range duplicates {
 		e.record(yuccahinge.Event{Code: event.DuplicateHit, Request: q.request.RequestID, Service: q.request.Service, Detail: string(id)})
 	}
