--- /dev/null
+++ b/bench/peers/host.go
@@ -0,0 +1,116 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/keeper"
+	"github.com/yuccahinge/yuccahinge/peer"
+	"github.com/yuccahinge/yuccahinge/pool"
+)
+
+// host is a keeper with its peer server and pool, on the loopback interface.
+type host struct {
+	keeper   keeper.Keeper
+	server   peer.Server
+	pool     pool.Pool
+	listener net.Listener
+
+	mu sync.Mutex
+	// inForce is when each ticket came into force, and broken the first invariant that did not hold.
+	inForce map[yuccahinge.TicketNumber]yuccahinge.Millis
+	broken  string
+}
+
+func newHost(i int, p *Plan, source yuccahinge.Source, bytes *atomic.Int64) (*host, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := &host{listener: &countingListener{Listener: l, bytes: bytes}, inForce: map[yuccahinge.TicketNumber]yuccahinge.Millis{}}
+	self := yuccahinge.Member{
+		ID: fmt.Sprintf("host-%04d", i), Domain: yuccahinge.DomainID(fmt.Sprint("domain-", i%p.Domains)),
+		Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive, Incarnation: yuccahinge.Incarnation(fmt.Sprintf("life-%012d", i)),
+		PeerAddr: l.Addr().String(), CallerAddr: l.Addr().String(), AdminAddr: l.Addr().String(),
+	}
+	h.server.Self, h.pool.Self = self, self
+	k := &h.keeper
+	k.Self = self
+	k.Source = source
+	k.Peers = &h.pool
+	k.Clock = clock.Clock{}
+	k.Recorder = h
+	k.Seed = p.Seed
+	k.Register(h.server.Handle)
+	return h, nil
+}
+
+func (h *host) run(ctx context.Context) error {
+	defer h.pool.Close()
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return h.server.Serve(ctx, h.listener) })
+	g.Go(func() error { return h.keeper.Run(ctx) })
+	return g.Wait()
+}
+
+// Record implements yuccahinge.Recorder.
+func (h *host) Record(e yuccahinge.Event) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch e.Code {
+	case event.TicketInForce:
+		h.inForce[e.Ticket] = now()
+	case event.InvariantBroken:
+		h.broken = e.Detail
+	}
+}
+
+// at returns when the ticket came into force, or false before.
+func (h *host) at(n yuccahinge.TicketNumber) (yuccahinge.Millis, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.inForce[n]
+	return at, ok
+}
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: conn, bytes: l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/bench/peers/run_test.go
@@ -0,0 +1,17 @@
+package peers
+
+import (
+	"context"
+	"testing"
+)
+
+func TestRunReachesEveryHost(t *testing.T) {
+	p := Plan{Hosts: 4, Domains: 2, Searchers: 8, Shards: 4, Tickets: 2, TicketBytes: 200, IdleMs: 200, EveryMs: 100, Seed: 1}
+	r, err := Run(context.Background(), p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.LastMs <= 0 || r.LastMs > 8000 || r.IdleBytes <= 0 {
+		t.Fatalf("the report is %+v", r)
+	}
+}
