--- a/roster/next.go
+++ b/roster/next.go
@@ -7,8 +7,8 @@
 )
 
 // Next returns the hosts to exchange with now: one of the own domain in a shuffled order, one of another domain now
-// and then and whenever the first one does not answer, one whose last call failed, and every other time a dead one, so
-// that hosts meet soon after a cut ends.
+// and then and whenever the first one does not answer, one whose last call failed, and now and then a dead one, so
+// that hosts meet again after a cut.
 func (r *Roster) Next(now yuccahinge.Millis) []yuccahinge.Member {
 	r.own(now)
 	r.calls++
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -29,7 +29,7 @@
 // Rates of Next, in calls of Next.
 const (
 	crossEvery = 3
-	deadEvery  = 2
+	deadEvery  = 10
 )
 
 // manyShare is the part of all hosts, as a divisor, from which on the dead are many.
