--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -29,7 +29,7 @@
 }
 
 // serve starts a server on a free port and returns its address.
-func serve(t *testing.T, s *peer.Server) string {
+func serve(t testing.TB, s *peer.Server) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
