Pace comparisons of rosters by what they move

A fleet of 200 that starts at once, or a cut between regions, changes many rows. Six rows ride on a message rather than 16, and a host that took many rows by comparison waits 100 ms for each before the next one, which keeps it at about 2 KB/s. The notices that the same call brings are not held back. The idle phase of the test of bench/peers was shorter than an exchange period, so that it could see no traffic; it now covers one.

--- a/bench/peers/plan.go
+++ b/bench/peers/plan.go
@@ -12,6 +12,8 @@
 	// Tickets is the number of tickets measured, each of about TicketBytes bytes.
 	Tickets     int `json:"tickets"`
 	TicketBytes int `json:"ticketBytes"`
+	// SettleMs is the wait before the hosts are watched, while changes of the start still ride along.
+	SettleMs yuccahinge.Millis `json:"settleMs"`
 	// IdleMs is how long the hosts are watched without tickets.
 	IdleMs yuccahinge.Millis `json:"idleMs"`
 	// EveryMs is the time between two tickets.
--- a/bench/peers/run.go
+++ b/bench/peers/run.go
@@ -95,7 +95,7 @@
 
 func (r *run) idle(ctx context.Context) error {
 	// Changes of the start still ride along for a while.
-	if err := sleep(ctx, 5*yuccahinge.Second); err != nil {
+	if err := sleep(ctx, r.plan.SettleMs); err != nil {
 		return err
 	}
 	reads := r.platform.reads.Load()
--- a/bench/peers/run_test.go
+++ b/bench/peers/run_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestRunReachesEveryHost(t *testing.T) {
-	p := Plan{Hosts: 4, Domains: 2, Searchers: 8, Shards: 4, Tickets: 2, TicketBytes: 200, IdleMs: 200, EveryMs: 100, Seed: 1}
+	p := Plan{Hosts: 4, Domains: 2, Searchers: 8, Shards: 4, Tickets: 2, TicketBytes: 200, IdleMs: 1500, EveryMs: 100, Seed: 1}
 	r, err := Run(context.Background(), p)
 	if err != nil {
 		t.Fatal(err)
--- a/cmd/spread/main.go
+++ b/cmd/spread/main.go
@@ -24,7 +24,7 @@
 func main() {
 	hosts := "4,16,64,200"
 	asJSON := false
-	idle, every := 10.0, 2.0
+	settle, idle, every := 15.0, 10.0, 2.0
 	p := peers.Plan{Domains: 4, Searchers: 200, Shards: 20, Tickets: 5, TicketBytes: 500, Seed: 1}
 	flaggy.SetName("spread")
 	flaggy.SetDescription("Measures the spread of tickets and membership over hosts on the loopback interface.")
@@ -34,11 +34,13 @@
 	flaggy.Int(&p.Shards, "", "shards", "shards in the state")
 	flaggy.Int(&p.Tickets, "", "tickets", "tickets measured")
 	flaggy.Int(&p.TicketBytes, "", "ticket-bytes", "size of a ticket")
+	flaggy.Float64(&settle, "", "settle", "seconds before the hosts are watched")
 	flaggy.Float64(&idle, "", "idle", "seconds watched without tickets")
 	flaggy.Float64(&every, "", "every", "seconds between tickets")
 	flaggy.UInt64(&p.Seed, "", "seed", "seed of the choices of peers")
 	flaggy.Bool(&asJSON, "", "json", "print a JSON object for each row")
 	flaggy.Parse()
+	p.SettleMs = millis(settle)
 	p.IdleMs = millis(idle)
 	p.EveryMs = millis(every)
 	os.Exit(run(p, hosts, asJSON))
--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -13,13 +13,16 @@
 
 const (
 	// deltaRows bounds the roster rows that ride along on one message.
-	deltaRows = 16
+	deltaRows = 6
 	// compareEvery is the least time between two comparisons of whole rosters.
 	compareEvery = 5 * yuccahinge.Second
 	// catchUpEvery is the least time between two requests for all notices.
 	catchUpEvery = 1 * yuccahinge.Second
 	// compareRows bounds the rows of one comparison.
 	compareRows = 4096
+	// comparePause is the wait before the next comparison for each row that one moved, so that a cut which
+	// changes many rows does not fill the links: a row takes about 200 bytes.
+	comparePause = yuccahinge.Millis(100)
 )
 
 // exchanges talks to a few peers every period.
@@ -160,25 +163,28 @@
 // notices ride along a few times only, and a host that was cut off meanwhile has missed them. The caller holds
 // the lock.
 func (k *Keeper) compareSoon(now yuccahinge.Millis, g *gossip) {
-	rows := g.Sum != k.roster.Sum() && now-k.compared >= compareEvery
+	rows := g.Sum != k.roster.Sum() && now >= k.compareAfter
 	notices := g.NoticeSum != k.book.Sum(now) && now-k.caughtUp >= catchUpEvery
 	if !rows && !notices {
 		return
 	}
-	k.compared = now
+	if rows {
+		k.compareAfter = now + compareEvery
+	}
 	if notices {
 		k.caughtUp = now
 	}
 	peer := g.From.Member
-	k.start(func() { _ = k.compare(k.ctx, peer, notices) })
+	k.start(func() { _ = k.compare(k.ctx, peer, rows, notices) })
 }
 
-// compare fetches the rows that differ from a peer's, and sends it those of this host.
-func (k *Keeper) compare(ctx context.Context, peer yuccahinge.Member, notices bool) error {
+// compare fetches the rows that differ from a peer's and sends it those of this host, or fetches the notices
+// that stand, or both.
+func (k *Keeper) compare(ctx context.Context, peer yuccahinge.Member, rows, notices bool) error {
 	now := k.Clock.Now()
 	k.mu.Lock()
 	k.begin()
-	request := compareRequest{From: k.roster.Own(now), Sums: k.roster.Sums(), Notices: notices}
+	request := compareRequest{From: k.roster.Own(now), Sums: k.roster.Sums(), NoRows: !rows, Notices: notices}
 	k.mu.Unlock()
 	reply, err := k.callCompare(ctx, peer, &request)
 	if err != nil {
@@ -189,10 +195,13 @@
 	k.recordChanges(k.roster.Heard(now, reply.From))
 	k.recordChanges(k.roster.Learn(now, reply.Rows))
 	calls := k.takeNotices(now, reply.Notices)
+	if rows {
+		k.compareAfter = now + max(compareEvery, comparePause*yuccahinge.Millis(len(reply.Rows)))
+	}
 	back := compareRequest{From: k.roster.Own(now), Sums: k.roster.Sums(), Rows: k.roster.Rows(reply.Sums)}
 	k.mu.Unlock()
 	runAll(calls)
-	if len(back.Rows) == 0 || back.Sums == reply.Sums {
+	if !rows || len(back.Rows) == 0 || back.Sums == reply.Sums {
 		return nil
 	}
 	_, err = k.callCompare(ctx, peer, &back)
@@ -226,7 +235,9 @@
 		k.recordChanges(k.roster.Learn(now, request.Rows[:min(len(request.Rows), compareRows)]))
 		return reply, nil
 	}
-	reply.Rows = k.roster.Rows(request.Sums)
+	if !request.NoRows {
+		reply.Rows = k.roster.Rows(request.Sums)
+	}
 	if request.Notices {
 		reply.Notices = k.book.All(now)
 	}
--- a/keeper/join.go
+++ b/keeper/join.go
@@ -71,7 +71,7 @@
 		wait.Go(func() {
 			call, cancel := context.WithTimeout(ctx, joinCall.Duration())
 			defer cancel()
-			_ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true)
+			_ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true, true)
 		})
 	}
 	wait.Go(func() { k.readMembers(ctx) })
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -56,17 +56,18 @@
 	// CallMs bounds a call to a peer.
 	CallMs yuccahinge.Millis
 
-	mu       sync.Mutex
-	begun    bool
-	spread   spread.Spread
-	roster   roster.Roster
-	book     notice.Book
-	history  history
-	heard    []func(yuccahinge.Notice)
-	compared yuccahinge.Millis
-	caughtUp yuccahinge.Millis
-	told     yuccahinge.Millis
-	reported map[string]yuccahinge.Millis
+	mu      sync.Mutex
+	begun   bool
+	spread  spread.Spread
+	roster  roster.Roster
+	book    notice.Book
+	history history
+	heard   []func(yuccahinge.Notice)
+	// compareAfter is when the next comparison of whole rosters may start.
+	compareAfter yuccahinge.Millis
+	caughtUp     yuccahinge.Millis
+	told         yuccahinge.Millis
+	reported     map[string]yuccahinge.Millis
 	// refresh is closed at the end of the comparison that follows a pause; nil when none is under way.
 	refresh chan struct{}
 
--- a/keeper/message.go
+++ b/keeper/message.go
@@ -39,6 +39,8 @@
 	From roster.Row             `json:"from"`
 	Sums [roster.Buckets]uint64 `json:"sums"`
 	Rows []roster.Row           `json:"rows,omitempty"`
+	// NoRows asks for no rows.
+	NoRows bool `json:"noRows,omitempty"`
 	// Notices asks for every notice that stands.
 	Notices bool `json:"notices,omitempty"`
 }
--- a/keeper/pause.go
+++ b/keeper/pause.go
@@ -68,7 +68,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { k.askAll(ctx, peers) })
 	for _, peer := range peers[:min(1, len(peers))] {
-		wait.Go(func() { _ = k.compare(ctx, peer, true) })
+		wait.Go(func() { _ = k.compare(ctx, peer, false, true) })
 	}
 	wait.Wait()
 }
