Let admission follow most of the shards and fall from what was in use

Change: the bound falls from the lower of itself and the window's peak, its least is 2, and the limiter learns when three quarters of the shards had settled in place of half.

--- a/bench/scene/variant.go
+++ b/bench/scene/variant.go
@@ -24,6 +24,7 @@
 		{name: "noLimit", adapt: func(t *tier.Tier) { t.Engine.Limiter = nil }},
 		{name: "noPoison", adapt: func(t *tier.Tier) { t.Engine.Poison = nil }},
 		{name: "noReady", adapt: func(t *tier.Tier) { t.Engine.Ready = nil }},
+		{name: "noCanary", adapt: func(t *tier.Tier) { t.Engine.Canary = false }},
 		{name: "canary", adapt: func(t *tier.Tier) { t.Engine.Canary = true }},
 		{name: "cancel", adapt: func(t *tier.Tier) { t.Engine.FinishHTTP1 = false }},
 		{name: "leave", adapt: func(t *tier.Tier) { t.Engine.FinishHTTP1 = true }},
--- a/gather/answer.go
+++ b/gather/answer.go
@@ -16,7 +16,7 @@
 	}
 	for i := range g.shards {
 		if s := &g.shards[i]; !s.settled() {
-			g.lack(s, g.lateReason(s))
+			g.lack(now, s, g.lateReason(s))
 		}
 	}
 	g.done = true
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -67,7 +67,7 @@
 	holding  bool              // later shards wait for a canary
 	next     int               // the next shard to ask while holding
 	canaryAt yuccahinge.Millis
-	halfAt   yuccahinge.Millis
+	mostAt   yuccahinge.Millis
 	// hedgeNext is the earliest hedgeAt of the shards and lateNext the earliest lateAt; zero for none.
 	hedgeNext yuccahinge.Millis
 	lateNext  yuccahinge.Millis
@@ -169,9 +169,9 @@
 // Sent returns the attempts sent.
 func (g *Gather) Sent() int { return len(g.attempts) }
 
-// HalfAt returns the instant at which half of the shards were covered, or false before. Unlike the end of
-// the query it tells of the load of the whole service and not of a straggler.
-func (g *Gather) HalfAt() (yuccahinge.Millis, bool) { return g.halfAt, g.halfAt > 0 }
+// MostAt returns the instant at which three quarters of the shards had settled, or false before. Unlike the
+// end of the query it tells of the load of the whole service and not of a straggler.
+func (g *Gather) MostAt() (yuccahinge.Millis, bool) { return g.mostAt, g.mostAt > 0 }
 
 // Invalid returns the replies that did not count because they were late, doubled or of another request.
 func (g *Gather) Invalid() int { return g.invalid }
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -117,7 +117,8 @@
 	case congested && bound <= least:
 		g.base *= baseLift
 	case congested:
-		bound *= decrease
+		// A bound far above what was in use would take many windows to be felt.
+		bound = min(bound, float64(peak)) * decrease
 	case float64(peak) >= bound*usedShare:
 		g.base *= baseRise
 		bound += max(1, bound*growth)
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -18,7 +18,7 @@
 }
 
 const (
-	defaultMin       = 4
+	defaultMin       = 2
 	defaultMax       = 4096
 	defaultTolerance = 2.0
 )
--- a/query/engine.go
+++ b/query/engine.go
@@ -124,18 +124,18 @@
 	return answer, nil
 }
 
-// release ends the admission. The limiter learns when half of the shards were covered: one shard without
-// a working replica is no reason to admit less.
+// release ends the admission. The limiter learns when most shards had settled: one shard without a
+// working replica is no reason to admit less.
 func (e *Engine) release(arrived yuccahinge.Millis, q *run) {
 	if e.Limiter == nil {
 		return
 	}
 	now := e.now()
-	half, ok := q.gather.HalfAt()
+	most, ok := q.gather.MostAt()
 	if !ok {
-		half = now
+		most = now
 	}
-	e.Limiter.Release(now, q.request.Service, half-arrived, ok)
+	e.Limiter.Release(now, q.request.Service, most-arrived, ok)
 }
 
 func (e *Engine) validate(r *yuccahinge.SearchRequest) error {
