--- a/keeper/drains_test.go
+++ b/keeper/drains_test.go
@@ -26,3 +26,14 @@
 		t.Fatal("the next life can not leave")
 	}
 }
+
+func TestListedDrainOutlastsTheNextRead(t *testing.T) {
+	k := &Keeper{}
+	list := make([]yuccahinge.Member, 10700)
+	list[0] = yuccahinge.Member{ID: "s1", Role: yuccahinge.RoleSearcher, Status: yuccahinge.StatusLeaving}
+	between := k.listPause(len(list))
+	notices := k.listedDrains(list)
+	if len(notices) != 1 || notices[0].TTLMs < 2*between {
+		t.Fatalf("%v with %v ms between two reads of the list", notices, between)
+	}
+}
--- a/keeper/notices.go
+++ b/keeper/notices.go
@@ -10,7 +10,7 @@
 const (
 	// noticeRows bounds the notices that ride along on one message.
 	noticeRows = 32
-	// listedDrain is how long a drain read from the membership list stands without being read again.
+	// listedDrain is the least time that a drain read from the membership list stands without being read again.
 	listedDrain = 60 * yuccahinge.Second
 	// tellEvery is the least time between two rounds that spread new notices at once.
 	tellEvery = yuccahinge.Millis(100)
--- a/keeper/platform.go
+++ b/keeper/platform.go
@@ -161,12 +161,17 @@
 			continue
 		}
 		rows := k.readMembers(ctx)
-		cost := yuccahinge.Millis(rows*listedMemberBytes) / listBytesPerSecond * yuccahinge.Second
-		k.sleep(ctx, max(orDefault(k.ListMs, DefaultList), cost))
+		k.sleep(ctx, k.listPause(rows))
 	}
 	return nil
 }
 
+// listPause returns the time between two reads of a list of so many rows.
+func (k *Keeper) listPause(rows int) yuccahinge.Millis {
+	cost := yuccahinge.Millis(rows*listedMemberBytes) / listBytesPerSecond * yuccahinge.Second
+	return max(orDefault(k.ListMs, DefaultList), cost)
+}
+
 // readMembers returns the number of rows read.
 func (k *Keeper) readMembers(ctx context.Context) int {
 	call, cancel := context.WithTimeout(ctx, readTimeout.Duration())
@@ -179,20 +184,22 @@
 	k.mu.Lock()
 	k.recordChanges(k.roster.Listed(now, list))
 	k.spread.Tick(now, k.roster.Members())
-	calls := k.takeNotices(now, listedDrains(list))
+	calls := k.takeNotices(now, k.listedDrains(list))
 	k.mu.Unlock()
 	runAll(calls)
 	return len(list)
 }
 
-func listedDrains(list []yuccahinge.Member) []yuccahinge.Notice {
+// listedDrains returns a notice for each searcher that is leaving, which stands until the list was read again.
+func (k *Keeper) listedDrains(list []yuccahinge.Member) []yuccahinge.Notice {
+	ttl := max(listedDrain, 3*k.listPause(len(list)))
 	var out []yuccahinge.Notice
 	for _, m := range list {
 		if m.Role != yuccahinge.RoleSearcher || m.Status != yuccahinge.StatusLeaving {
 			continue
 		}
 		out = append(out, yuccahinge.Notice{
-			Kind: yuccahinge.NoticeDraining, Key: m.ID, Incarnation: m.Incarnation, TTLMs: listedDrain,
+			Kind: yuccahinge.NoticeDraining, Key: m.ID, Incarnation: m.Incarnation, TTLMs: ttl,
 		})
 	}
 	return out
