--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -67,6 +67,8 @@
 	caughtUp yuccahinge.Millis
 	told     yuccahinge.Millis
 	reported map[string]yuccahinge.Millis
+	// refresh is closed at the end of the comparison that follows a pause; nil when none is under way.
+	refresh chan struct{}
 
 	state  atomic.Pointer[yuccahinge.State]
 	ready  atomic.Pointer[readiness]
@@ -76,7 +78,6 @@
 	// beat is the last sign of life of this process's timers, as the bits of Millis.
 	beat     atomic.Uint64
 	stale    atomic.Bool
-	refresh  sync.Mutex
 	catching sync.Mutex
 	dice     dice
 
@@ -134,8 +135,6 @@
 		return
 	}
 	k.begun = true
-	k.Self.Role = yuccahinge.RoleEntry
-	k.Self.Status = yuccahinge.StatusLive
 	k.roster.Self = k.Self
 	k.roster.Seed = k.Seed
 	k.spread.Self = yuccahinge.HostID(k.Self.ID)
