Make a fresh host ready without waiting long for a silent platform

Cause: a platform that takes calls and never answers held a fresh host up for 6 s, 3 for the list and 3 for the head, although a seed had given it the state. Change: while joining, the list and, once a peer has given a state, the head are awaited for 1 s each; the reader and the list go on as before. Ruled out: skipping the platform when a peer answers, since the platform may know a later ticket.

--- a/keeper/join.go
+++ b/keeper/join.go
@@ -58,23 +58,32 @@
 	k.mu.Unlock()
 	answered := k.askQuietly(ctx, peers)
 	k.fetchBest(ctx)
-	return answered, k.readHead(ctx, 0, 0)
+	return answered, k.joinHead(ctx)
+}
+
+// joinHead reads the platform's head. A host that a peer has given a state waits less for a silent platform, which its
+// reader asks again later.
+func (k *Keeper) joinHead(ctx context.Context) error {
+	if k.spreadNumber() == 0 {
+		return k.readHead(ctx, 0, 0)
+	}
+	call, cancel := context.WithTimeout(ctx, joinCall.Duration())
+	defer cancel()
+	return k.readHead(call, 0, 0)
 }
 
 // meet learns of peers from the seeds and from the membership list.
 func (k *Keeper) meet(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, joinCall.Duration())
+	defer cancel()
 	var wait sync.WaitGroup
 	for _, addr := range k.Seeds {
 		if addr == k.Self.PeerAddr {
 			continue
 		}
-		wait.Go(func() {
-			call, cancel := context.WithTimeout(ctx, joinCall.Duration())
-			defer cancel()
-			_ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true)
-		})
+		wait.Go(func() { _ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true) })
 	}
-	wait.Go(func() { k.readMembers(ctx) })
+	wait.Go(func() { k.readMembers(call) })
 	wait.Wait()
 }
 
--- /dev/null
+++ b/keeper/join_test.go
@@ -0,0 +1,48 @@
+package keeper
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// silent is a platform that takes calls and never answers.
+type silent struct{ yuccahinge.Source }
+
+func (silent) Head(ctx context.Context, _ yuccahinge.TicketNumber, _ yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
+	<-ctx.Done()
+	return 0, ctx.Err()
+}
+
+func (silent) Members(ctx context.Context) ([]yuccahinge.Member, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func TestFreshHostDoesNotWaitLongForASilentPlatform(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t}
+		f.publish()
+		var wait sync.WaitGroup
+		run(ctx, &wait, f.add(0, "d0"))
+		time.Sleep(3 * time.Second)
+		fresh := f.add(1, "d1")
+		fresh.Seeds = []string{"127.0.0.1:7000"}
+		fresh.Source = silent{f}
+		run(ctx, &wait, fresh)
+		time.Sleep(2*joinCall.Duration() + time.Second/2)
+		if ok, why := fresh.Ready(); !ok {
+			t.Errorf("not ready: %s", why)
+		}
+		if s, _ := fresh.State(); s == nil || s.Ticket != 1 {
+			t.Errorf("state is %v", s)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
