Assert at run time that a charge is attempted once; let a host that is full or leaving ask others for a grant

An attempt after one without proof of not run is refused and recorded as a broken invariant. Cause 2: when this host came first for a key and could grant no more, no other host was asked. Before: charge TestAHostThatGrantsNoMoreAsksOthers fails. After: go test -race ./charge passes. Also: what arrives between the last step of the drain and the exit counts as cut.

--- a/charge/desk_test.go
+++ b/charge/desk_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/token"
 )
 
@@ -117,6 +118,18 @@
 	}
 }
 
+func TestAHostThatGrantsNoMoreAsksOthers(t *testing.T) {
+	s := newSite("a", "b")
+	a := s.desk("a", "i1")
+	s.desk("b", "i1")
+	a.Seal()
+	for _, key := range []string{"k1", "k2", "k3", "k4"} {
+		if k, _ := token.Parse(mustGrant(t, a, key)); k.Owner != "b" {
+			t.Errorf("claim for %s is owned by %s, want b", key, k.Owner)
+		}
+	}
+}
+
 func TestARunOutlivesItsCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite("a")
@@ -192,3 +205,20 @@
 		}
 	}
 }
+
+func TestARunThatMayHaveRunIsNotAttemptedAgain(t *testing.T) {
+	s := newSite("a")
+	s.run = func(context.Context, yuccahinge.SearcherID) yuccahinge.Outcome { return yuccahinge.Unknown }
+	d := s.desk("a", "i1")
+	r := &run{request: request("c"), key: "k", deadline: s.Now() + yuccahinge.Second}
+	for range 2 {
+		if got := d.attempt(t.Context(), r, "s1", &yuccahinge.Searcher{}, 1); got.Outcome != yuccahinge.Unknown {
+			t.Fatalf("attempt gives %+v, want unknown", got)
+		}
+	}
+	s.mustCall(t, "s1")
+	last := s.events[len(s.events)-1]
+	if last.Code != event.InvariantBroken {
+		t.Errorf("the last event is %+v, want a broken invariant", last)
+	}
+}
--- a/charge/grant.go
+++ b/charge/grant.go
@@ -60,7 +60,7 @@
 	return g, err
 }
 
-// owners returns the hosts to ask, in order, this one at the latest.
+// owners returns the hosts to ask, in order: a few others and this one.
 func (d *Desk) owners(r yuccahinge.ClaimRequest) []yuccahinge.Member {
 	members := make(map[string]yuccahinge.Member)
 	var live, suspect []string
@@ -75,13 +75,21 @@
 	}
 	key := string(r.Service) + "\x00" + r.Key
 	var owners []yuccahinge.Member
+	others, self := 0, false
 	for _, id := range append(rendez.Order(key, live), rendez.Order(key, suspect)...) {
-		if id == d.Self.ID || len(owners) == maxOwners {
-			break
+		switch {
+		case id == d.Self.ID:
+			self = true
+			owners = append(owners, d.Self)
+		case others < maxOwners:
+			others++
+			owners = append(owners, members[id])
 		}
-		owners = append(owners, members[id])
 	}
-	return append(owners, d.Self)
+	if !self {
+		owners = append(owners, d.Self)
+	}
+	return owners
 }
 
 // chargeable returns an error unless the service takes charges.
--- a/charge/run.go
+++ b/charge/run.go
@@ -14,6 +14,8 @@
 	// deadline is the instant after which no attempt starts.
 	deadline yuccahinge.Millis
 	ended    chan struct{}
+	// spent is set from the start of an attempt until proof that it did not run.
+	spent bool
 	// answer may be read once ended is closed.
 	answer yuccahinge.ChargeAnswer
 }
@@ -69,8 +71,13 @@
 	return notRun(reason)
 }
 
-// attempt sends the charge to one searcher.
+// attempt sends the charge to one searcher, unless an earlier attempt may have run it.
 func (d *Desk) attempt(ctx context.Context, r *run, id yuccahinge.SearcherID, s *yuccahinge.Searcher, ticket yuccahinge.TicketNumber) yuccahinge.ChargeResult {
+	if r.spent {
+		d.record(event.InvariantBroken, r.request, id, "second attempt without proof that the first did not run")
+		return yuccahinge.ChargeResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonRefused}
+	}
+	r.spent = true
 	start := d.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, (r.deadline - start + settle).Duration())
 	defer cancel()
@@ -85,6 +92,7 @@
 		Body:       r.request.Body,
 		DeadlineMs: r.deadline - start,
 	})
+	r.spent = result.Outcome != yuccahinge.NotRun
 	d.observeEnd(start, id, &result)
 	return result
 }
--- a/node/leave.go
+++ b/node/leave.go
@@ -42,7 +42,8 @@
 			sleep(ctx, (next - n.clock.Now()).Duration())
 		}
 	}
-	if cut := d.Cut(); cut > 0 {
+	// A request may have arrived on an open connection since the last step.
+	if cut := max(d.Cut(), n.busy()); cut > 0 {
 		n.record(event.DrainCut, fmt.Sprintf("%d in flight", cut))
 	}
 }
