End the goroutines of a search whose caller has gone

Cause: after the caller went, the drain of the remaining attempts kept the state machine alive; a failed attempt made it ask for a retry that nobody sent, and the drain waited for that for ever. Found by reading. Measured: TestCallerGone fails without it (synctest: blocked goroutines remain) and passes with it.

--- a/gather/answer.go
+++ b/gather/answer.go
@@ -14,6 +14,12 @@
 	if g.done || !g.due(now) {
 		return g.out
 	}
+	g.finish(now)
+	return g.out
+}
+
+// finish settles what is left and cancels what is in flight.
+func (g *Gather) finish(now yuccahinge.Millis) {
 	for i := range g.shards {
 		if s := &g.shards[i]; !s.settled() {
 			g.lack(now, s, g.lateReason(s))
@@ -22,7 +28,6 @@
 	g.done = true
 	g.cancel(-1)
 	g.out = append(g.out, Action{Kind: Finish})
-	return g.out
 }
 
 func (g *Gather) due(now yuccahinge.Millis) bool {
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -128,6 +128,16 @@
 	return g.conclude(now)
 }
 
+// Stop ends the query before its time, when nobody waits for the answer any more.
+func (g *Gather) Stop(now yuccahinge.Millis) []Action {
+	g.out = g.out[:0]
+	if g.done {
+		return nil
+	}
+	g.finish(now)
+	return g.out
+}
+
 // NextTick returns the instant at which Tick falls due, or false after the end.
 func (g *Gather) NextTick() (yuccahinge.Millis, bool) {
 	if g.done || g.shards == nil {
--- a/gather/send.go
+++ b/gather/send.go
@@ -1,6 +1,10 @@
 package gather
 
-import "github.com/yuccahinge/yuccahinge"
+import (
+	"slices"
+
+	"github.com/yuccahinge/yuccahinge"
+)
 
 const (
 	// canaries is the number of shards that are asked first.
@@ -191,7 +195,7 @@
 		return g.Picker.Pick(now, g.Index, s.spec, tried)
 	}
 	for _, id := range s.spec.Searchers {
-		if !contains(tried, id) {
+		if g.Index.Searchers[id] != nil && !slices.Contains(tried, id) {
 			return id, true
 		}
 	}
@@ -276,12 +280,3 @@
 	}
 	return int(h % uint32(n))
 }
-
-func contains(ids []yuccahinge.SearcherID, id yuccahinge.SearcherID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
--- a/poison/poison.go
+++ b/poison/poison.go
@@ -2,7 +2,9 @@
 package poison
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -248,6 +250,7 @@
 	if p.down == nil {
 		p.down = make(map[yuccahinge.SearcherID]yuccahinge.Millis)
 	}
+	maps.DeleteFunc(p.down, func(_ yuccahinge.SearcherID, at yuccahinge.Millis) bool { return at+downMs <= now })
 	p.down[id] = now
 	p.downs.Store(int64(len(p.down)))
 	return false
@@ -259,11 +262,7 @@
 		p.lost = make(map[yuccahinge.SearcherID]yuccahinge.Millis)
 	}
 	p.lost[id] = now
-	for other, at := range p.lost {
-		if at+burstMs < now {
-			delete(p.lost, other)
-		}
-	}
+	maps.DeleteFunc(p.lost, func(_ yuccahinge.SearcherID, at yuccahinge.Millis) bool { return at+burstMs < now })
 	if len(p.lost) >= p.maxBurst() {
 		p.blamed = now
 	}
@@ -295,14 +294,10 @@
 }
 
 func with(ids []yuccahinge.SearcherID, id yuccahinge.SearcherID) []yuccahinge.SearcherID {
-	out := make([]yuccahinge.SearcherID, 0, len(ids)+1)
-	for _, other := range ids {
-		if other == id {
-			return ids
-		}
-		out = append(out, other)
+	if slices.Contains(ids, id) {
+		return ids
 	}
-	return append(out, id)
+	return append(slices.Clone(ids), id)
 }
 
 func (p *Poison) hold() yuccahinge.Millis {
--- a/query/engine_test.go
+++ b/query/engine_test.go
@@ -197,6 +197,25 @@
 	})
 }
 
+// TestCallerGone ends every goroutine of the query, or synctest reports them.
+func TestCallerGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &Engine{
+			States: state(&yuccahinge.Service{Index: index(1, 4)}),
+			Caller: caller(func(ctx context.Context, _ yuccahinge.SearcherID, _ *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+				<-ctx.Done()
+				return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonCanceled}
+			}),
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		defer cancel()
+		r := &yuccahinge.SearchRequest{RequestID: "r", Service: "trainer", Query: json.RawMessage(`"q"`), DeadlineMs: 300}
+		if _, err := e.Search(ctx, r); code(err) != yuccahinge.CodeDeadline {
+			t.Error(err)
+		}
+	})
+}
+
 func TestQueryOfDeathCrashesTwo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var crashed atomic.Int64
