Soak: the real notices, calm spells between faults, denser breaks

The hosts of the run use package notice and compare rosters and notices as the keeper does; a monitor asks of every connected host that it knows of a leaving searcher, not only of those that send. Faults come in busy and calm spells, since in an unbroken storm hardly any two hosts stayed connected for the 8 s that the tickets' invariant needs.

--- a/cmd/soak/world/charge.go
+++ b/cmd/soak/world/charge.go
@@ -161,6 +161,7 @@
 	c := &run{host: h, claim: r.Claim, key: key, deadline: h.w.now() + r.DeadlineMs}
 	c.waiting = append(c.waiting, answers(done))
 	h.runs[r.Claim] = c
+	h.ranAt = h.w.now()
 	h.accept(c.work(), "run")
 	c.next(yuccahinge.ReasonUnreachable)
 }
--- a/cmd/soak/world/check.go
+++ b/cmd/soak/world/check.go
@@ -276,9 +276,10 @@
 	delete(c.digests, h)
 }
 
-// monitor checks that tickets are in force on all hosts that are connected to one where they are in force
+// monitor checks what must hold between hosts: tickets are in force on all hosts that are connected to one where they are in force
 // or readable.
 func (w *World) monitor() {
+	w.monitorLeaving()
 	now := w.now()
 	readable := w.platform.newestAt(now - inForceMs)
 	for i, s := range w.slots {
@@ -302,6 +303,33 @@
 	}
 }
 
+// monitorLeaving checks that hosts connected to one that knows of a leaving searcher know of it too.
+func (w *World) monitorLeaving() {
+	for _, id := range w.allSearchers() {
+		s := w.searchers[id]
+		if !s.alive || !s.leaving {
+			continue
+		}
+		for _, slot := range w.slots {
+			w.monitorHeard(s, slot.host)
+		}
+	}
+}
+
+func (w *World) monitorHeard(s *searcher, g *host) {
+	life := s.incarnation()
+	at, ok := w.check.known[life][g]
+	if !ok || !g.alive || w.now()-at <= leavingMs {
+		return
+	}
+	for _, slot := range w.slots {
+		h := slot.host
+		if h.alive && w.linked(g, h, leavingMs) && !h.leave.Leaving(s.id) {
+			w.fail(LeavingHeard, []string{string(s.id)}, "%s has known for %.0f ms that %s leaves, and %s, connected to it, does not", g.id, float64(w.now()-at), life, h.id)
+		}
+	}
+}
+
 // numberAt returns the number that was in force at an instant.
 func (h *host) numberAt(at yuccahinge.Millis) yuccahinge.TicketNumber {
 	for i := len(h.log) - 1; i >= 0; i-- {
--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -57,6 +57,7 @@
 	nextExchange yuccahinge.Millis
 	nextList     yuccahinge.Millis
 	nextPoll     yuccahinge.Millis
+	nextUrgent   yuccahinge.Millis
 	comparedRows yuccahinge.Millis
 	caughtUp     yuccahinge.Millis
 	isReading    bool
@@ -68,7 +69,8 @@
 	staleAt      yuccahinge.Millis
 	inFlight     int
 	told         yuccahinge.Millis
-	attempts     []*attempt // open or ended lately
+	attempts     []*attempt        // open or ended lately
+	ranAt        yuccahinge.Millis // when the last charge began
 	runs         map[yuccahinge.ClaimID]*run
 	serial       int
 	log          []publication // the numbers put in force
--- a/cmd/soak/world/notice.go
+++ b/cmd/soak/world/notice.go
@@ -15,8 +15,10 @@
 	tellEveryMs = 100
 	// tellNow is the number of hosts of the own domain in such a round.
 	tellNow = 3
-	// pollMs is the time between two reports that a host asks a searcher for.
-	pollMs = 10 * yuccahinge.Second
+	// pollMs is the time between two reports that a host asks a searcher for, and urgentMs the time between two
+	// that a new index waits for.
+	pollMs   = 10 * yuccahinge.Second
+	urgentMs = 1 * yuccahinge.Second
 )
 
 // learn takes what a searcher says of itself in reply to a call sent at the instant asked.
@@ -109,10 +111,14 @@
 	if s == nil {
 		return
 	}
-	ids := h.ready.Unknown(searchService, s.Services[searchService])
+	var ids []yuccahinge.SearcherID
+	if now >= h.nextUrgent {
+		h.nextUrgent = now + urgentMs
+		ids = h.ready.Unknown(searchService, s.Services[searchService])
+	}
 	if now >= h.nextPoll {
 		h.nextPoll = now + pollMs
-		ids = append(h.w.searchersOf(searchService), h.w.searchersOf(chargeService)...)
+		ids = h.w.allSearchers()
 	}
 	for _, id := range ids {
 		h.poll(h.w.searchers[id])
--- a/cmd/soak/world/searcher.go
+++ b/cmd/soak/world/searcher.go
@@ -21,8 +21,10 @@
 	life   int
 	frozen yuccahinge.Millis
 	// leaving says that this life drains. Its health report says so from the instant told on.
-	leaving  bool
-	told     yuccahinge.Millis
+	leaving bool
+	told    yuccahinge.Millis
+	// listed says that the membership list tells of the drain too.
+	listed   bool
 	versions map[yuccahinge.IndexVersion]yuccahinge.Millis
 	running  map[*job]bool
 	slow     int
@@ -71,6 +73,11 @@
 	return out
 }
 
+// allSearchers returns the searchers of all services.
+func (w *World) allSearchers() []yuccahinge.SearcherID {
+	return append(w.searchersOf(searchService), w.searchersOf(chargeService)...)
+}
+
 func (s *searcher) place() place { return place{string(s.id), s.domain, false} }
 
 func (s *searcher) spec() *yuccahinge.Searcher {
@@ -220,6 +227,7 @@
 	}
 	w := s.w
 	s.leaving = true
+	s.listed = w.chance(0.3)
 	s.told = w.now() + w.span(0, 20000)
 	w.check.count("searcher drain")
 	w.note(string(s.id), string(s.id), "leaves in life %d", s.life)
--- a/cmd/soak/world/world.go
+++ b/cmd/soak/world/world.go
@@ -76,6 +76,10 @@
 		w.every(monitorMs, w.monitor)
 		w.after(w.span(2000, 3000), w.nextTicket)
 		w.after(w.span(2000, 4000), w.nextFault)
+		w.after(busyMs, func() {
+			w.missTicket()
+			w.every(roundMs, w.missTicket)
+		})
 	})
 }
 
