--- a/cmd/soak/world/notice.go
+++ b/cmd/soak/world/notice.go
@@ -1,8 +1,6 @@
 package world
 
 import (
-	"strconv"
-
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/leave"
 )
@@ -49,11 +47,8 @@
 		if h.leave.Mark(now, id, n.Incarnation) {
 			h.hearsLeaving(id, n.Incarnation)
 		}
-	case yuccahinge.NoticePoisoned:
-		f, err := strconv.ParseUint(n.Key, 16, 64)
-		if err == nil {
-			h.poison.Confirm(now, yuccahinge.Fingerprint(f), n.TTLMs)
-		}
+	case yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
+		h.poison.Hear(now, n)
 	}
 	h.tellSoon(now)
 }
--- a/cmd/soak/world/query.go
+++ b/cmd/soak/world/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -111,7 +110,7 @@
 	}
 	q.admitted = true
 	verdict := h.poison.Check(now, q.print)
-	if verdict == poison.Confirmed {
+	if verdict == poison.Confirmed || verdict == poison.Resting {
 		q.refuse(yuccahinge.ReasonPoisoned)
 		return
 	}
@@ -129,7 +128,8 @@
 	q.gather = &gather.Gather{
 		Request: q.request.RequestID, Service: q.request.Service, Ticket: state.Ticket, Index: ix,
 		Deadline: q.deadline, SoftDeadline: q.soft(), EnoughCoverage: 0.6,
-		Canary: !h.poison.Proven(q.print), Suspect: verdict == poison.Suspect,
+		Domain: h.domain, Canary: !h.poison.Proven(q.print),
+		Suspect: verdict == poison.Suspect, SuspectShard: h.poison.Shard(q.print),
 		Picker: h.route, Hedger: &h.hedge, Learner: &h.hedge, Observer: h,
 		RetryBudget: &h.retry, HedgeBudget: &h.hedges, Lost: q.lose,
 	}
@@ -196,21 +196,25 @@
 }
 
 // lose tells the poison part of a lost connection.
-func (q *query) lose(now yuccahinge.Millis, id yuccahinge.SearcherID, proven bool) bool {
+func (q *query) lose(now yuccahinge.Millis, shard yuccahinge.ShardID, id yuccahinge.SearcherID, proven bool) bool {
 	h := q.host
-	if !h.poison.Lost(now, q.print, id, proven) {
+	verdict, news := h.poison.Lost(now, poison.Loss{
+		Query: q.print, Request: q.request.RequestID, Shard: shard, Searcher: id, Proven: proven,
+	})
+	if news {
+		h.tell(h.poison.Notice(q.print, verdict, shard))
+	}
+	if verdict != poison.Confirmed {
 		return false
 	}
 	h.w.check.count("query quarantined")
-	key := strconv.FormatUint(uint64(q.print), 16)
-	h.tell(yuccahinge.Notice{Kind: yuccahinge.NoticePoisoned, Key: key, TTLMs: h.poison.Hold()})
 	return true
 }
 
 // ended takes the end of an attempt.
 func (q *query) ended(id yuccahinge.AttemptID, r *yuccahinge.ShardResult) {
-	if r.Outcome == yuccahinge.Ran {
-		q.host.poison.Ran(q.host.w.now(), q.print)
+	if r.Reply != nil {
+		q.host.poison.Replied(q.attempts[id].searcher.id)
 	}
 	q.do(q.gather.Result(q.host.w.now(), id, r))
 }
@@ -241,6 +245,9 @@
 	if h.w.is(UnknownAsNotRun) && a.Outcome == yuccahinge.Partial && len(a.Hits) == 0 {
 		a.Outcome = yuccahinge.NotRun
 	}
+	if a.Outcome == yuccahinge.Complete {
+		h.poison.Clear(now, q.print)
+	}
 	h.w.check.answered(q, a)
 	h.limit.Release(now, q.request.Service, now-q.arrived, now <= q.deadline)
 	q.reply(a)
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -178,6 +178,20 @@
 	}
 }
 
+func TestHedgesManyShardsThatAreVeryLate(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(20, 2), Deadline: 100, Hedger: fixedDelay(10)}
+	sends := slices.Clone(g.Start(0))
+	for _, a := range sends[:12] {
+		g.Result(1, a.Attempt, reply(a))
+	}
+	if at, _ := g.NextTick(); at != 20 {
+		t.Fatalf("next tick is %g", at)
+	}
+	if out := g.Tick(20); len(out) != 8 {
+		t.Fatalf("%d hedges for 8 silent shards", len(out))
+	}
+}
+
 func TestCoveredIsWrittenAsRanges(t *testing.T) {
 	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
 	for _, a := range slices.Clone(g.Start(0)) {
@@ -258,3 +272,23 @@
 		t.Fatalf("outcome %q, %v, want partial", a.Outcome, err)
 	}
 }
+
+// ignorant is a Hedger that knows no latencies.
+type ignorant struct{}
+
+func (ignorant) Delay(yuccahinge.Millis, yuccahinge.ServiceName, yuccahinge.ShardID) (yuccahinge.Millis, bool) {
+	return 0, false
+}
+
+func TestUnknownLatencyIsHedgedBeforeTheDeadline(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(1, 2), Deadline: 1000, Hedger: ignorant{}}
+	g.Start(0)
+	at, ok := g.NextTick()
+	if !ok || at >= g.Deadline {
+		t.Fatalf("next tick is at %v, want one before the deadline", at)
+	}
+	out := g.Tick(at)
+	if len(out) != 1 || out[0].Kind != Send || out[0].Cause != Hedge {
+		t.Fatalf("actions at %v are %v, want a hedge", at, out)
+	}
+}
--- a/query/engine.go
+++ b/query/engine.go
@@ -47,7 +47,9 @@
 	// Leave remembers which searchers are draining.
 	Leave *leave.Leave
 	// Gossip spreads what Poison and Leave find.
-	Gossip   yuccahinge.Gossip
+	Gossip yuccahinge.Gossip
+	// Domain is this host's failure domain.
+	Domain   yuccahinge.DomainID
 	Clock    yuccahinge.Clock
 	Recorder yuccahinge.Recorder
 	// CatchUp waits until the state in force is at least n.
@@ -105,7 +107,7 @@
 	}
 	mark := fingerprint(r)
 	verdict := e.verdict(now, mark)
-	if verdict == poison.Confirmed {
+	if verdict == poison.Confirmed || verdict == poison.Resting {
 		return nil, fail(yuccahinge.CodePoisoned, yuccahinge.StepAdmit, "the query crashed searchers and is refused for a while")
 	}
 	if e.Limiter != nil && !e.Limiter.Admit(now, r.Service) {
@@ -122,18 +124,18 @@
 	return answer, nil
 }
 
-// release ends the admission. The limiter learns when half of the shards were covered: one shard without
-// a working replica is no reason to admit less.
+// release ends the admission. The limiter learns when most shards had settled: one shard without a
+// working replica is no reason to admit less.
 func (e *Engine) release(arrived yuccahinge.Millis, q *run) {
 	if e.Limiter == nil {
 		return
 	}
 	now := e.now()
-	half, ok := q.gather.HalfAt()
+	most, ok := q.gather.MostAt()
 	if !ok {
-		half = now
+		most = now
 	}
-	e.Limiter.Release(now, q.request.Service, half-arrived, ok)
+	e.Limiter.Release(now, q.request.Service, most-arrived, ok)
 }
 
 func (e *Engine) validate(r *yuccahinge.SearchRequest) error {
--- a/query/notice.go
+++ b/query/notice.go
@@ -1,10 +1,9 @@
 package query
 
 import (
-	"strconv"
-
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/poison"
 )
 
 // drainNoticeMs is how long a notice of a leaving searcher stands.
@@ -13,8 +12,10 @@
 // Hear takes a notice from another host.
 func (e *Engine) Hear(n yuccahinge.Notice) {
 	switch n.Kind {
-	case yuccahinge.NoticePoisoned:
-		e.hearPoisoned(n)
+	case yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
+		if e.Poison != nil && e.Poison.Hear(e.now(), n) {
+			e.record(yuccahinge.Event{Code: event.QueryQuarantined, Detail: "heard " + n.Key})
+		}
 	case yuccahinge.NoticeDraining:
 		if e.Leave != nil && e.Leave.Mark(e.now(), yuccahinge.SearcherID(n.Key), n.Incarnation) {
 			e.record(yuccahinge.Event{Code: event.SearcherDraining, Searcher: yuccahinge.SearcherID(n.Key), Detail: "heard"})
@@ -22,22 +23,14 @@
 	}
 }
 
-func (e *Engine) hearPoisoned(n yuccahinge.Notice) {
-	f, err := strconv.ParseUint(n.Key, 16, 64)
-	if err != nil || e.Poison == nil {
-		return
-	}
-	if e.Poison.Confirm(e.now(), yuccahinge.Fingerprint(f), n.TTLMs) {
-		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Detail: "heard " + n.Key})
+// tellOf records and spreads what is held against a query.
+func (e *Engine) tellOf(r *yuccahinge.SearchRequest, f yuccahinge.Fingerprint, v poison.Verdict, shard yuccahinge.ShardID) {
+	n := e.Poison.Notice(f, v, shard)
+	if v == poison.Confirmed {
+		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: r.RequestID, Service: r.Service, Detail: n.Key})
 	}
-}
-
-// tellPoisoned records and spreads that a query is quarantined.
-func (e *Engine) tellPoisoned(r *yuccahinge.SearchRequest, f yuccahinge.Fingerprint) {
-	key := strconv.FormatUint(uint64(f), 16)
-	e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: r.RequestID, Service: r.Service, Detail: key})
 	if e.Gossip != nil {
-		e.Gossip.Tell(yuccahinge.Notice{Kind: yuccahinge.NoticePoisoned, Key: key, TTLMs: e.Poison.Hold()})
+		e.Gossip.Tell(n)
 	}
 }
 
@@ -48,6 +41,9 @@
 		return
 	}
 	e.Report(end.sent, id, &r.Reply.Load)
+	if e.Poison != nil {
+		e.Poison.Replied(id)
+	}
 	if e.Ready != nil && r.Reason == yuccahinge.ReasonVersion {
 		e.Ready.Lacks(id, version)
 	}
