--- a/keeper/exchange.go
+++ b/keeper/exchange.go
@@ -112,6 +112,7 @@
 		k.recordChanges(k.roster.Failed(now, yuccahinge.HostID(peer.ID)))
 	}
 	if err != nil {
+		k.report(event.SpreadPullFailed, &spread.Decision{Peer: yuccahinge.HostID(peer.ID), Reason: err.Error()})
 		k.recordChanges(k.roster.Failed(now, yuccahinge.HostID(peer.ID)))
 		k.mu.Unlock()
 		return
@@ -304,6 +305,9 @@
 		if !ok {
 			return
 		}
+		if d.Parcel != nil {
+			k.record(yuccahinge.Event{Code: event.SpreadPushed, Ticket: k.spread.Number(), Peer: string(d.Peer)})
+		}
 		k.start(func() { _ = k.ask(k.ctx, peer, d.Parcel) })
 	case spread.Ignored:
 		k.report(event.TicketIgnored, d)
@@ -324,6 +328,9 @@
 		})
 		return
 	}
+	if d.Whole {
+		k.record(yuccahinge.Event{Code: event.StateAdopted, Ticket: d.Number, Peer: string(d.Peer)})
+	}
 	k.state.Store(d.State)
 	k.history.add(d.Number, d.Digest)
 	k.record(yuccahinge.Event{Code: event.TicketInForce, Ticket: d.Number, Peer: string(d.Peer), Detail: string(d.Digest)})
--- a/spread/decision.go
+++ b/spread/decision.go
@@ -35,5 +35,7 @@
 	Digest yuccahinge.Digest
 	State  *yuccahinge.State
 	Parcel *Parcel
+	// Whole says that an adopted state came as a whole, not as a ticket.
+	Whole  bool
 	Reason string
 }
--- a/spread/spread.go
+++ b/spread/spread.go
@@ -209,7 +209,7 @@
 	}
 	push := Push{Ticket: p.Ticket, Before: s.digest(), After: next.Digest}
 	s.remember(push)
-	return s.adopt(from, next), true
+	return s.adopt(from, next, false), true
 }
 
 func (s *Spread) takeState(from yuccahinge.HostID, next *yuccahinge.State) []Decision {
@@ -227,14 +227,14 @@
 	}
 	// The tickets kept lead to another state than this one, as far as is known.
 	s.ring = nil
-	return s.adopt(from, next)
+	return s.adopt(from, next, true)
 }
 
-func (s *Spread) adopt(from yuccahinge.HostID, next *yuccahinge.State) []Decision {
+func (s *Spread) adopt(from yuccahinge.HostID, next *yuccahinge.State, whole bool) []Decision {
 	s.state = next
 	s.size = 0
 	s.reads.settle(next.Ticket)
-	out := []Decision{{Kind: Adopt, Peer: from, Number: next.Ticket, Digest: next.Digest, State: next}}
+	out := []Decision{{Kind: Adopt, Peer: from, Number: next.Ticket, Digest: next.Digest, State: next, Whole: whole}}
 	return append(out, s.push()...)
 }
 
