--- a/keeper/join.go
+++ b/keeper/join.go
@@ -81,7 +81,7 @@
 		if addr == k.Self.PeerAddr {
 			continue
 		}
-		wait.Go(func() { _ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true) })
+		wait.Go(func() { _ = k.compare(call, yuccahinge.Member{PeerAddr: addr}, true, true) })
 	}
 	wait.Go(func() { k.readMembers(call) })
 	wait.Wait()
