--- a/cmd/soak/world/faults.go
+++ b/cmd/soak/world/faults.go
@@ -13,6 +13,9 @@
 	calmFaultMs = 3000
 	busyMs      = 8 * yuccahinge.Second
 	roundMs     = 21 * yuccahinge.Second
+	// leaveTries and leaveRetryMs bound the wait for a busy host that may leave.
+	leaveTries   = 100
+	leaveRetryMs = 7
 	// leastHosts is the number of live hosts that kills leave.
 	leastHosts = 4
 )
@@ -99,21 +102,23 @@
 	}
 }
 
-// busyHost returns a live host with requests in flight, or any.
-func (w *World) busyHost() *host {
+// leaveHost lets a host leave that has requests in flight. It waits a while for one.
+func (w *World) leaveHost() { w.leaveBusy(leaveTries) }
+
+func (w *World) leaveBusy(tries int) {
+	if w.liveHosts() <= leastHosts || tries == 0 {
+		return
+	}
 	for _, s := range w.slots {
-		if s.host.alive && s.host.inFlight > 0 {
-			return s.host
+		if h := s.host; h.isReady() && h.isAwake(w.now()) && h.inFlight > 0 {
+			w.queue.At(w.now(), h, h.depart)
+			return
 		}
 	}
-	return w.someHost()
-}
-
-func (w *World) leaveHost() {
-	if w.liveHosts() > leastHosts {
-		h := w.busyHost()
-		w.queue.At(w.now(), h, h.depart)
-	}
+	w.after(leaveRetryMs, func() {
+		w.idle()
+		w.leaveBusy(tries - 1)
+	})
 }
 
 func (w *World) pauseHost() { w.pause(w.someHost(), w.span(100, 8000)) }
