Judge load by the share of slow requests, and learn the uncongested time from whole ones only

A mean followed the few searches that waited for a shard that is gone, and a search given up as poisoned after some ms, counted as half settled, became the uncongested time that all others were measured against. Change: the bound falls when more than half of a window's requests are over the tolerance or failed; half of the shards covered is the measure again, and only requests that reach it count for the uncongested time. TestFewSlowRequestsShedNothing fails with the mean.

--- a/gather/answer.go
+++ b/gather/answer.go
@@ -14,15 +14,15 @@
 	if g.done || !g.due(now) {
 		return g.out
 	}
-	g.finish(now)
+	g.finish()
 	return g.out
 }
 
 // finish settles what is left and cancels what is in flight.
-func (g *Gather) finish(now yuccahinge.Millis) {
+func (g *Gather) finish() {
 	for i := range g.shards {
 		if s := &g.shards[i]; !s.settled() {
-			g.lack(now, s, g.lateReason(s))
+			g.lack(s, g.lateReason(s))
 		}
 	}
 	g.done = true
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -67,7 +67,7 @@
 	holding  bool              // later shards wait for a canary
 	next     int               // the next shard to ask while holding
 	canaryAt yuccahinge.Millis
-	mostAt   yuccahinge.Millis
+	halfAt   yuccahinge.Millis
 	// hedgeNext is the earliest hedgeAt of the shards and lateNext the earliest lateAt; zero for none.
 	hedgeNext yuccahinge.Millis
 	lateNext  yuccahinge.Millis
@@ -129,12 +129,12 @@
 }
 
 // Stop ends the query before its time, when nobody waits for the answer any more.
-func (g *Gather) Stop(now yuccahinge.Millis) []Action {
+func (g *Gather) Stop() []Action {
 	g.out = g.out[:0]
 	if g.done {
 		return nil
 	}
-	g.finish(now)
+	g.finish()
 	return g.out
 }
 
@@ -179,9 +179,9 @@
 // Sent returns the attempts sent.
 func (g *Gather) Sent() int { return len(g.attempts) }
 
-// MostAt returns the instant at which three quarters of the shards had settled, or false before. Unlike the
-// end of the query it tells of the load of the whole service and not of a straggler.
-func (g *Gather) MostAt() (yuccahinge.Millis, bool) { return g.mostAt, g.mostAt > 0 }
+// HalfAt returns the instant at which half of the shards were covered, or false before. Unlike the end of the
+// query it tells of the load of the whole service and not of a straggler or of a domain that is cut off.
+func (g *Gather) HalfAt() (yuccahinge.Millis, bool) { return g.halfAt, g.halfAt > 0 }
 
 // Invalid returns the replies that did not count because they were late, doubled or of another request.
 func (g *Gather) Invalid() int { return g.invalid }
--- a/gather/result.go
+++ b/gather/result.go
@@ -64,8 +64,11 @@
 		return
 	}
 	s.reply = reply
+	g.settled++
 	g.covered++
-	g.settle(now)
+	if g.halfAt == 0 && 2*g.covered >= len(g.shards) {
+		g.halfAt = now
+	}
 	if s.open > 0 {
 		g.cancel(i)
 	}
@@ -110,9 +113,9 @@
 	default:
 		if g.retryAt > 0 {
 			g.retryAt = 0
-			g.lack(now, &g.shards[g.lostAt], yuccahinge.ReasonLost)
+			g.lack(&g.shards[g.lostAt], yuccahinge.ReasonLost)
 		}
-		g.lack(now, s, yuccahinge.ReasonLost)
+		g.lack(s, yuccahinge.ReasonLost)
 	}
 }
 
@@ -137,17 +140,17 @@
 		return
 	}
 	if s.retried || g.Suspect || now >= g.Deadline {
-		g.lack(now, s, s.reason)
+		g.lack(s, s.reason)
 		return
 	}
 	if g.RetryBudget != nil && !g.RetryBudget.Take() {
-		g.lack(now, s, s.reason)
+		g.lack(s, s.reason)
 		return
 	}
 	s.retried = true
 	s.hedgeAt = 0
 	if !g.ask(now, i, Retry) {
-		g.lack(now, s, s.reason)
+		g.lack(s, s.reason)
 	}
 }
 
@@ -155,23 +158,16 @@
 // so that it has its turn with the others.
 func (g *Gather) nextCanary(now yuccahinge.Millis, s *shard) {
 	if s.sent >= maxTried {
-		g.lack(now, s, s.reason)
+		g.lack(s, s.reason)
 	}
 	g.canaryAt = now
 	g.askCanary(now)
 }
 
-func (g *Gather) lack(now yuccahinge.Millis, s *shard, r yuccahinge.Reason) {
+func (g *Gather) lack(s *shard, r yuccahinge.Reason) {
 	if s.settled() {
 		return
 	}
 	s.lack(r)
-	g.settle(now)
-}
-
-func (g *Gather) settle(now yuccahinge.Millis) {
 	g.settled++
-	if g.mostAt == 0 && 4*g.settled >= 3*len(g.shards) {
-		g.mostAt = now
-	}
 }
--- a/gather/send.go
+++ b/gather/send.go
@@ -135,7 +135,7 @@
 	searcher, ok := g.pick(now, s)
 	if !ok {
 		if s.open == 0 {
-			g.lack(now, s, yuccahinge.ReasonUnreachable)
+			g.lack(s, yuccahinge.ReasonUnreachable)
 		}
 		return false
 	}
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -10,7 +10,7 @@
 const (
 	// initialBound is the bound before anything is known.
 	initialBound = 64
-	// windowMs is the least span over which latencies are averaged.
+	// windowMs is the least span over which latencies are judged.
 	windowMs yuccahinge.Millis = 100
 	// windowSamples is the least number of requests in a window.
 	windowSamples = 8
@@ -33,12 +33,13 @@
 	bound    atomic.Int64
 	peak     atomic.Int64
 
-	// sumMicros, lowMicros, count and late describe the present window.
-	sumMicros atomic.Int64
+	// lowMicros, count and slow describe the present window.
 	lowMicros atomic.Int64
 	count     atomic.Int64
-	late      atomic.Int64
+	slow      atomic.Int64
 	opened    atomic.Int64 // in microseconds
+	// slowMicros is the latency from which a request counts as slow; zero while none is known.
+	slowMicros atomic.Int64
 
 	mu   sync.Mutex
 	base float64 // the uncongested latency in milliseconds
@@ -58,11 +59,13 @@
 
 func (g *gate) release(now, took yuccahinge.Millis, ok bool, l *Limit) {
 	g.inFlight.Add(-1)
-	g.sumMicros.Add(int64(took * 1000))
-	g.lower(int64(took * 1000))
+	micros := int64(took * 1000)
 	n := g.count.Add(1)
-	if !ok {
-		g.late.Add(1)
+	if ok {
+		g.lower(micros)
+	}
+	if from := g.slowMicros.Load(); !ok || (from > 0 && micros > from) {
+		g.slow.Add(1)
 	}
 	opened := g.opened.Load()
 	if opened == 0 {
@@ -97,16 +100,15 @@
 	if n == 0 {
 		return
 	}
-	mean := float64(g.sumMicros.Swap(0)) / float64(n) / 1000
 	low := float64(g.lowMicros.Swap(0)) / 1000
-	late := float64(g.late.Swap(0)) / float64(n)
+	slow := float64(g.slow.Swap(0)) / float64(n)
 	peak := g.peak.Swap(g.inFlight.Load())
 	g.opened.Store(int64(now * 1000))
-	if g.base == 0 || low < g.base {
+	if low > 0 && (g.base == 0 || low < g.base) {
 		g.base = low
 	}
-	congested := mean > g.base*l.tolerance()+slackMs || late > lateShare
-	g.bound.Store(g.next(congested, peak, l))
+	g.bound.Store(g.next(slow > slowShare, peak, l))
+	g.slowMicros.Store(int64((g.base*l.tolerance() + slackMs) * 1000))
 }
 
 // next returns the new bound and ages the uncongested latency.
@@ -129,8 +131,9 @@
 }
 
 const (
-	// lateShare is the share of requests past their deadline that counts as congestion.
-	lateShare = 0.1
+	// slowShare is the share of slow requests that counts as congestion. A mean would follow the few that
+	// wait for a shard that is gone.
+	slowShare = 0.5
 	// usedShare is the share of the bound that must have been in use before it may grow.
 	usedShare = 0.8
 )
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -11,7 +11,7 @@
 type Limit struct {
 	// Min and Max bound the requests in flight of one service.
 	Min, Max int
-	// Tolerance is the latency, as a multiple of the uncongested one, at which the bound starts to fall.
+	// Tolerance is the latency, as a multiple of the uncongested one, from which a request counts as slow.
 	Tolerance float64
 
 	services sync.Map // of yuccahinge.ServiceName to *gate
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -72,6 +72,30 @@
 	}
 }
 
+// TestFewSlowRequestsShedNothing covers a shard that is gone: a quarter of the requests waits for its
+// deadline, and some are given up at once.
+func TestFewSlowRequestsShedNothing(t *testing.T) {
+	var l Limit
+	now := yuccahinge.Millis(1)
+	for i := range 1000 {
+		if !l.Admit(now, "s") {
+			t.Fatalf("request %d was refused at a bound of %d", i, l.Bound("s"))
+		}
+		took, ok := yuccahinge.Millis(20), true
+		switch i % 8 {
+		case 0, 3:
+			took, ok = 2000, false
+		case 5:
+			took, ok = 1, false
+		}
+		now += 10
+		l.Release(now, "s", took, ok)
+	}
+	if b := l.Bound("s"); b < initialBound {
+		t.Fatalf("the bound fell to %d", b)
+	}
+}
+
 func BenchmarkAdmitRelease(b *testing.B) {
 	var l Limit
 	b.ReportAllocs()
--- a/query/engine.go
+++ b/query/engine.go
@@ -124,18 +124,18 @@
 	return answer, nil
 }
 
-// release ends the admission. The limiter learns when most shards had settled: one shard without a
+// release ends the admission. The limiter learns when half of the shards were covered: one shard without a
 // working replica is no reason to admit less.
 func (e *Engine) release(arrived yuccahinge.Millis, q *run) {
 	if e.Limiter == nil {
 		return
 	}
 	now := e.now()
-	most, ok := q.gather.MostAt()
+	half, ok := q.gather.HalfAt()
 	if !ok {
-		most = now
+		half = now
 	}
-	e.Limiter.Release(now, q.request.Service, most-arrived, ok)
+	e.Limiter.Release(now, q.request.Service, half-arrived, ok)
 }
 
 func (e *Engine) validate(r *yuccahinge.SearchRequest) error {
--- a/query/run.go
+++ b/query/run.go
@@ -100,7 +100,7 @@
 		case <-timer.C:
 			q.act(calls, q.gather.Tick(e.now()))
 		case <-ctx.Done():
-			q.gather.Stop(e.now())
+			q.gather.Stop()
 			q.abandon()
 			return &yuccahinge.Error{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepGather, Message: "the caller has gone", Err: ctx.Err()}
 		}
