--- a/gather/gather.go
+++ b/gather/gather.go
@@ -40,6 +40,8 @@
 	Canary bool
 	// CanaryMs is the wait for a sign from the canaries; zero takes 4 ms.
 	CanaryMs yuccahinge.Millis
+	// Proven says that all shards replied to the query lately. Every connection that it loses is retried.
+	Proven bool
 	// Suspect says that the query lost a searcher before. It is neither hedged nor retried.
 	Suspect bool
 	// SuspectShard is where a suspect query lost a searcher. It is asked first.
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -192,6 +192,24 @@
 	}
 }
 
+func TestLostConnectionsAreRetried(t *testing.T) {
+	for _, c := range []struct {
+		proven bool
+		want   int
+	}{{false, 5}, {true, 8}} {
+		g := &Gather{Request: "r", Index: index(5, 2), Deadline: 100, Proven: c.proven}
+		sends := slices.Clone(g.Start(0))
+		g.Result(1, sends[0].Attempt, reply(sends[0]))
+		for _, a := range sends[1:4] {
+			g.Result(1, a.Attempt, failed(yuccahinge.Unknown, yuccahinge.ReasonLost))
+		}
+		g.Tick(1 + retryLostMs)
+		if g.Sent() != c.want {
+			t.Errorf("proven %t: %d attempts, want %d", c.proven, g.Sent(), c.want)
+		}
+	}
+}
+
 func TestCoveredIsWrittenAsRanges(t *testing.T) {
 	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
 	for _, a := range slices.Clone(g.Start(0)) {
--- a/gather/result.go
+++ b/gather/result.go
@@ -107,6 +107,8 @@
 	case g.poisoned || s.open > 0:
 	case g.holding:
 		g.canaryAt = now + afterLossMs
+	case g.Proven:
+		g.again(now, a.shard, s)
 	case g.lost == 1:
 		g.retryAt = now + retryLostMs
 		g.lostAt = a.shard
--- a/query/run.go
+++ b/query/run.go
@@ -61,7 +61,8 @@
 		q.gather.SoftDeadline = arrived + q.service.SoftDeadlineMs
 	}
 	if e.Poison != nil {
-		q.gather.Canary = e.Canary && !e.Poison.Proven(q.mark)
+		q.gather.Proven = e.Poison.Proven(q.mark)
+		q.gather.Canary = e.Canary && !q.gather.Proven
 		q.gather.Lost = q.lost
 		q.gather.SuspectShard = e.Poison.Shard(q.mark)
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -28,9 +28,12 @@
 	draws     atomic.Uint64
 }
 
+// maxReplicas is the number of replicas that are weighed without an allocation.
+const maxReplicas = 24
+
 // Pick returns a searcher of the shard that is not in tried, or false when none may be used.
 func (r *Route) Pick(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard, tried []yuccahinge.SearcherID) (yuccahinge.SearcherID, bool) {
-	var room [8]candidate
+	var room [maxReplicas]candidate
 	all := r.candidates(room[:0], now, ix, shard, tried)
 	all = healthy(now, all)
 	if len(all) == 0 {
