--- a/cmd/soak/world/depart.go
+++ b/cmd/soak/world/depart.go
@@ -27,6 +27,7 @@
 	h.drain.Start(now)
 	h.roster.Leave(now)
 	h.exchangeAll()
+	h.stepDrain(now)
 }
 
 // stepDrain goes on with a shutdown and reports whether the host lives on.
