Tell other hosts of a draining searcher that only runs charges

Cause: found while reading the wiring against cmd/soak, whose hosts learn from every reply. The desk told the picker alone how its calls ended, so that a refusal for draining kept this host away, but no other host heard of it until its own call or the probe, which comes every 10 s. Ruled out: a notice from package charge (the engine has the memory and the gossip already). Change: the tier takes the ends of charges too and hands the searcher's word to the engine.

--- a/node/wire.go
+++ b/node/wire.go
@@ -98,7 +98,7 @@
 	d.Peers = &p.pool
 	d.Caller = &p.once
 	d.Picker = &p.tier.Route
-	d.Observer = &p.tier.Route
+	d.Observer = &p.tier
 	d.Clock = n.clock
 	d.Recorder = &n.events
 	d.Register(p.peers.Handle)
