Compare again when the process was paused during the comparison

Ruled out: the beat (Fresh itself marks it at its end, so that nothing notices the second pause). Change: a comparison that took longer than its limit and a pause is made again, three times at most.

Run: the new test fails without the change (ticket 1 in force, want 2); go test -count=5 ./keeper and -race passed.

--- a/keeper/behind_test.go
+++ b/keeper/behind_test.go
@@ -102,3 +102,20 @@
 		}
 	})
 }
+
+// TestPauseDuringTheComparisonAfterAPause stops the process a second time while it waits for its peers, who can be
+// reached only then.
+func TestPauseDuringTheComparisonAfterAPause(t *testing.T) {
+	behind(t, func(fl *fleet, k *Keeper, clock *skewedClock, _ func()) {
+		fl.mu.Lock()
+		fl.cut = func(string, string) bool {
+			return clock.skew.Swap(10000) == 5000
+		}
+		fl.mu.Unlock()
+		clock.skew.Store(5000)
+		k.Fresh(context.Background())
+		if s, _ := k.State(); s.Ticket != 2 {
+			t.Errorf("after the second pause ticket %d is in force", s.Ticket)
+		}
+	})
+}
--- a/keeper/pause.go
+++ b/keeper/pause.go
@@ -14,6 +14,8 @@
 	beatEvery = yuccahinge.Millis(100)
 	// freshPeers is the number of hosts of the own domain that are asked after a pause.
 	freshPeers = 2
+	// freshTries bounds the comparisons of a process that is paused again and again.
+	freshTries = 3
 )
 
 // Fresh returns at once unless the process was paused. Then it compares states and notices with some peers,
@@ -33,13 +35,27 @@
 	defer k.endRefresh(done)
 	k.record(yuccahinge.Event{Code: event.ProcessPaused})
 	// Others wait for this comparison, so the end of this request must not end it.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), orDefault(k.FreshMs, DefaultFresh).Duration())
-	defer cancel()
-	k.comparePeers(ctx)
+	ctx = context.WithoutCancel(ctx)
+	for range freshTries {
+		if k.compareAwake(ctx) {
+			break
+		}
+	}
 	k.touch()
 	k.stale.Store(false)
 }
 
+// compareAwake compares once and reports whether the process was not paused again meanwhile. After such a pause
+// nothing is known of what the peers' replies are worth.
+func (k *Keeper) compareAwake(ctx context.Context) bool {
+	limit := orDefault(k.FreshMs, DefaultFresh)
+	ctx, cancel := context.WithTimeout(ctx, limit.Duration())
+	defer cancel()
+	began := k.Clock.Now()
+	k.comparePeers(ctx)
+	return k.Clock.Now()-began <= limit+orDefault(k.PauseMs, DefaultPause)
+}
+
 // startRefresh returns the channel that is closed at the end of the comparison under way, and whether the
 // caller has to make it.
 func (k *Keeper) startRefresh() (chan struct{}, bool) {
