--- a/cmd/soak/world/attempt.go
+++ b/cmd/soak/world/attempt.go
@@ -25,8 +25,8 @@
 // settleMs is the time beyond its deadline for which a charge's reply is awaited.
 const settleMs = 1 * yuccahinge.Second
 
-// send1 sends an attempt to its searcher.
-func (h *host) send1(a *attempt) {
+// launch sends an attempt to its searcher.
+func (h *host) launch(a *attempt) {
 	w, s := h.w, a.searcher
 	if a.canceled {
 		a.end(yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonCanceled})
@@ -155,6 +155,6 @@
 }
 
 // forgetAttempts drops attempts that ended.
-func (h *host) forgetAttempts(yuccahinge.Millis) {
+func (h *host) forgetAttempts() {
 	h.attempts = slices.DeleteFunc(h.attempts, func(a *attempt) bool { return a.ended })
 }
--- a/cmd/soak/world/charge.go
+++ b/cmd/soak/world/charge.go
@@ -209,7 +209,7 @@
 	a.request = yuccahinge.ShardRequest{RequestID: yuccahinge.RequestID(c.claim), Service: chargeService}
 	h.w.check.decided(a)
 	h.route.Started(h.w.now(), id)
-	h.after(0, func() { h.send1(a) })
+	h.after(0, func() { h.launch(a) })
 }
 
 // hedge is the wrong decision of HedgeCharge: a slow charge is sent to another searcher too.
--- a/cmd/soak/world/check.go
+++ b/cmd/soak/world/check.go
@@ -339,11 +339,3 @@
 	}
 	return 0
 }
-
-// outcomeOf returns what an error says of whether anything ran.
-func outcomeOf(err error) yuccahinge.Outcome {
-	if o := errorOutcome(err); o != "" {
-		return o
-	}
-	return yuccahinge.Unknown
-}
--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -196,7 +196,7 @@
 		h.readHead()
 	}
 	h.pollSearchers(now)
-	h.forgetAttempts(now)
+	h.forgetAttempts()
 	if h.stepDrain(now) {
 		h.after(tickMs, func() {
 			h.w.idle()
--- a/cmd/soak/world/outcome.go
+++ b/cmd/soak/world/outcome.go
@@ -6,11 +6,11 @@
 	"github.com/yuccahinge/yuccahinge"
 )
 
-// errorOutcome returns the outcome that an error carries, or nothing.
-func errorOutcome(err error) yuccahinge.Outcome {
+// outcomeOf returns what an error says of whether anything ran.
+func outcomeOf(err error) yuccahinge.Outcome {
 	var e *yuccahinge.Error
-	if errors.As(err, &e) {
+	if errors.As(err, &e) && e.Outcome != "" {
 		return e.Outcome
 	}
-	return ""
+	return yuccahinge.Unknown
 }
--- a/cmd/soak/world/query.go
+++ b/cmd/soak/world/query.go
@@ -152,7 +152,7 @@
 		switch a.Kind {
 		case gather.Send:
 			at := q.attempt(a)
-			h.after(0, func() { h.send1(at) })
+			h.after(0, func() { h.launch(at) })
 		case gather.Cancel:
 			at := q.attempts[a.Attempt]
 			h.after(0, func() { h.cancel(at) })
