--- a/admin/port.go
+++ b/admin/port.go
@@ -2,12 +2,12 @@
 package admin
 
 import (
-	"encoding/json"
 	"net/http"
 	"net/http/pprof"
 	"strconv"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 // eventsPerPage bounds the events of one answer.
@@ -41,25 +41,25 @@
 }
 
 func (p *Port) status(w http.ResponseWriter, _ *http.Request) {
-	write(w, http.StatusOK, p.Status())
+	reply.JSON(w, http.StatusOK, p.Status())
 }
 
 func (p *Port) ticket(w http.ResponseWriter, r *http.Request) {
 	n, err := strconv.ParseUint(r.PathValue("n"), 10, 64)
 	if err != nil || n == 0 {
-		write(w, http.StatusBadRequest, problem("ticket number "+strconv.Quote(r.PathValue("n"))+" is not a positive whole number"))
+		reply.JSON(w, http.StatusBadRequest, problem("ticket number "+strconv.Quote(r.PathValue("n"))+" is not a positive whole number"))
 		return
 	}
-	write(w, http.StatusOK, p.Confirm(yuccahinge.TicketNumber(n)))
+	reply.JSON(w, http.StatusOK, p.Confirm(yuccahinge.TicketNumber(n)))
 }
 
 func (p *Port) state(w http.ResponseWriter, _ *http.Request) {
 	st, _ := p.States.State()
 	if st == nil {
-		write(w, http.StatusServiceUnavailable, problem("no state is in force yet"))
+		reply.JSON(w, http.StatusServiceUnavailable, problem("no state is in force yet"))
 		return
 	}
-	write(w, http.StatusOK, st)
+	reply.JSON(w, http.StatusOK, st)
 }
 
 func (p *Port) events(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +67,7 @@
 	if s := r.URL.Query().Get("since"); s != "" {
 		n, err := strconv.ParseUint(s, 10, 64)
 		if err != nil {
-			write(w, http.StatusBadRequest, problem("since "+strconv.Quote(s)+" is not a whole number"))
+			reply.JSON(w, http.StatusBadRequest, problem("since "+strconv.Quote(s)+" is not a whole number"))
 			return
 		}
 		since = n
@@ -80,7 +80,7 @@
 	if got == nil {
 		got = []yuccahinge.Event{}
 	}
-	write(w, http.StatusOK, yuccahinge.EventPage{Events: got, Next: next})
+	reply.JSON(w, http.StatusOK, yuccahinge.EventPage{Events: got, Next: next})
 }
 
 func problem(message string) any {
@@ -92,14 +92,3 @@
 		Error part `json:"error"`
 	}{part{yuccahinge.CodeInvalid, message}}
 }
-
-func write(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
-}
--- a/entry/charge.go
+++ b/entry/charge.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 func (f *Front) grant(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
@@ -24,7 +25,7 @@
 		writeError(w, id, err)
 		return
 	}
-	writeJSON(w, http.StatusOK, g)
+	reply.JSON(w, http.StatusOK, g)
 }
 
 func (f *Front) lookup(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
@@ -34,7 +35,7 @@
 		return
 	}
 	ans.RequestID = id
-	writeJSON(w, http.StatusOK, ans)
+	reply.JSON(w, http.StatusOK, ans)
 }
 
 func (f *Front) charge(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
@@ -58,7 +59,7 @@
 		writeError(w, id, err)
 		return
 	}
-	writeJSON(w, chargeStatus(ans.Outcome), ans)
+	reply.JSON(w, chargeStatus(ans.Outcome), ans)
 }
 
 // requireClaim refuses a charge without a claim and offers a fresh one for its key.
@@ -73,7 +74,7 @@
 		writeError(w, req.RequestID, err)
 		return
 	}
-	writeJSON(w, http.StatusPreconditionRequired, claimRequired(req.RequestID, g))
+	reply.JSON(w, http.StatusPreconditionRequired, claimRequired(req.RequestID, g))
 }
 
 // keyOf returns the business key in the body, or a digest of the body where it names none.
--- a/entry/errors.go
+++ b/entry/errors.go
@@ -7,6 +7,7 @@
 	"net/http"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 // errCrowded refuses a request beyond the most that are served at once.
@@ -66,7 +67,7 @@
 		e = &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepGather, Message: err.Error()}
 	}
 	body := errorBody{Error: partOf(e), RequestID: id, Outcome: outcomeOf(e)}
-	writeJSON(w, statusOf(e.Code), body)
+	reply.JSON(w, statusOf(e.Code), body)
 }
 
 func partOf(e *yuccahinge.Error) errorPart {
--- a/entry/front.go
+++ b/entry/front.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 // searcher answers searches.
@@ -78,18 +79,18 @@
 }
 
 func (f *Front) healthz(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, health{Status: "live"})
+	reply.JSON(w, http.StatusOK, health{Status: "live"})
 }
 
 func (f *Front) readyz(w http.ResponseWriter, _ *http.Request) {
 	if f.Ready == nil {
-		writeJSON(w, http.StatusOK, health{Status: "ready"})
+		reply.JSON(w, http.StatusOK, health{Status: "ready"})
 		return
 	}
 	ok, why := f.Ready()
 	if !ok {
-		writeJSON(w, http.StatusServiceUnavailable, health{Status: "unready", Reason: why})
+		reply.JSON(w, http.StatusServiceUnavailable, health{Status: "unready", Reason: why})
 		return
 	}
-	writeJSON(w, http.StatusOK, health{Status: "ready"})
+	reply.JSON(w, http.StatusOK, health{Status: "ready"})
 }
--- a/entry/search.go
+++ b/entry/search.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 func (f *Front) search(w http.ResponseWriter, r *http.Request, id yuccahinge.RequestID) {
@@ -51,5 +52,5 @@
 	if ans.Outcome == yuccahinge.NotRun {
 		status = http.StatusServiceUnavailable
 	}
-	writeJSON(w, status, ans)
+	reply.JSON(w, status, ans)
 }
--- a/standin/wire/wire.go
+++ b/standin/wire/wire.go
@@ -8,22 +8,15 @@
 	"io"
 	"net"
 	"net/http"
+
+	"github.com/yuccahinge/yuccahinge/reply"
 )
 
 // MaxBody bounds the bytes of a request's body.
 const MaxBody = 16 << 20
 
 // Reply writes v as JSON with the status.
-func Reply(w http.ResponseWriter, status int, v any) {
-	body, err := json.Marshal(v)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
-}
+func Reply(w http.ResponseWriter, status int, v any) { reply.JSON(w, status, v) }
 
 // Problem writes an error as JSON with the status.
 func Problem(w http.ResponseWriter, status int, err error) {
