Keep suspect hosts in their place among the owners of a key

Ruled out: the table (both claims had different owners) and the roster (the suspicion was refuted). Before: charge TestHostsThatDifferInWhomTheySuspectMeetAtOneOwner fails. After: go test -race ./charge passes.

--- a/charge/desk_test.go
+++ b/charge/desk_test.go
@@ -118,6 +118,27 @@
 	}
 }
 
+func TestHostsThatDifferInWhomTheySuspectMeetAtOneOwner(t *testing.T) {
+	s := newSite("a", "b", "c")
+	s.desk("b", "i1")
+	s.desk("c", "i1")
+	a := s.desk("a", "i1")
+	for _, key := range []string{"k1", "k2", "k3", "k4", "k5", "k6"} {
+		for i := range s.members {
+			s.members[i].Status = yuccahinge.StatusLive
+		}
+		before, _ := token.Parse(mustGrant(t, a, key))
+		for i := range s.members {
+			if s.members[i].ID == string(before.Owner) {
+				s.members[i].Status = yuccahinge.StatusSuspect
+			}
+		}
+		if after, _ := token.Parse(mustGrant(t, a, key)); after.Owner != before.Owner {
+			t.Errorf("the owner for %s moves from %s to %s on a suspicion", key, before.Owner, after.Owner)
+		}
+	}
+}
+
 func TestAHostThatGrantsNoMoreAsksOthers(t *testing.T) {
 	s := newSite("a", "b")
 	a := s.desk("a", "i1")
--- a/charge/grant.go
+++ b/charge/grant.go
@@ -60,23 +60,20 @@
 	return g, err
 }
 
-// owners returns the hosts to ask, in order: a few others and this one.
+// owners returns the hosts to ask, in order: a few others and this one. Suspects keep their place, since hosts that
+// differ in whom they suspect would else send two charges of one key to two owners; a dead one costs a call.
 func (d *Desk) owners(r yuccahinge.ClaimRequest) []yuccahinge.Member {
 	members := make(map[string]yuccahinge.Member)
-	var live, suspect []string
+	var ids []string
 	for _, m := range d.Roster.Members() {
-		members[m.ID] = m
-		switch m.Status {
-		case yuccahinge.StatusLive:
-			live = append(live, m.ID)
-		case yuccahinge.StatusSuspect:
-			suspect = append(suspect, m.ID)
+		if m.Status == yuccahinge.StatusLive || m.Status == yuccahinge.StatusSuspect {
+			members[m.ID] = m
+			ids = append(ids, m.ID)
 		}
 	}
-	key := string(r.Service) + "\x00" + r.Key
 	var owners []yuccahinge.Member
 	others, self := 0, false
-	for _, id := range append(rendez.Order(key, live), rendez.Order(key, suspect)...) {
+	for _, id := range rendez.Order(string(r.Service)+"\x00"+r.Key, ids) {
 		switch {
 		case id == d.Self.ID:
 			self = true
