Call the owner again until its broken connections are used up

Cause: in go test ./proof -count=10 TestAForwardBrokenInMidChargeFindsTheRun failed once: a reset broke all pooled connections to the owner, and the second and last call took another broken one, so that the caller got an unknown for a charge that ran. Change: up to six calls with waits of 10 ms doubling, within the deadline; the owner starts a claim once. Ruled out: a fresh connection for each forward, which costs a dial for every charge. Before: charge TestAForwardOutlivesBrokenConnections fails with two calls (by its bound of four broken ones). After: go test -race ./charge and go test ./proof -run AForwardBroken -count=10 pass.

--- a/charge/desk_test.go
+++ b/charge/desk_test.go
@@ -91,6 +91,16 @@
 	s.mustCall(t, "s1")
 }
 
+func TestAForwardOutlivesBrokenConnections(t *testing.T) {
+	s := newSite("a", "b")
+	a := s.desk("a", "i1")
+	s.desk("b", "i1")
+	claim := ownedBy(t, a, "b")
+	s.broken = 4
+	mustCharge(t, a, claim, yuccahinge.Ran, "")
+	s.mustCall(t, "s1")
+}
+
 // ownedBy asks for claims until the host owns one.
 func ownedBy(t *testing.T, d *Desk, host yuccahinge.HostID) yuccahinge.ClaimID {
 	t.Helper()
--- a/charge/fake_test.go
+++ b/charge/fake_test.go
@@ -23,8 +23,10 @@
 	handlers map[string]map[yuccahinge.PeerMethod]yuccahinge.PeerHandler
 	// down holds the addresses that can't be called, mute those whose replies get lost.
 	down, mute map[string]bool
-	events     []yuccahinge.Event
-	state      yuccahinge.State
+	// broken is the number of calls that fail before calls succeed again.
+	broken int
+	events []yuccahinge.Event
+	state  yuccahinge.State
 
 	// run answers the call to a searcher; calls keeps the searchers called.
 	run   func(context.Context, yuccahinge.SearcherID) yuccahinge.Outcome
@@ -94,6 +96,10 @@
 func (s *site) Call(ctx context.Context, addr string, method yuccahinge.PeerMethod, in, out any) error {
 	s.mu.Lock()
 	h, down, mute := s.handlers[addr][method], s.down[addr], s.mute[addr]
+	if s.broken > 0 {
+		s.broken--
+		down = true
+	}
 	s.mu.Unlock()
 	if down || h == nil {
 		return errCut
--- a/charge/forward.go
+++ b/charge/forward.go
@@ -2,13 +2,19 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
 )
 
-// maxSends bounds the calls to the owner for one charge. A second call is safe, since the owner starts a claim once.
-const maxSends = 2
+const (
+	// maxSends bounds the calls to the owner for one charge. Another call is safe, since the owner starts a claim once,
+	// and several may fail at once: after a cut, each idle connection to the owner is broken.
+	maxSends = 6
+	// firstPause is the wait before the second call. It doubles with each further one.
+	firstPause = 10 * time.Millisecond
+)
 
 // forward sends a charge to the owner of its claim. When the owner can't be asked the outcome is unknown, even if this
 // host sent it nothing: the same claim may have reached the owner through another host.
@@ -19,7 +25,8 @@
 	}
 	start := d.Clock.Now()
 	call := *r
-	for range maxSends {
+	for n := range maxSends {
+		pause(ctx, n)
 		call.DeadlineMs = r.DeadlineMs - (d.Clock.Now() - start)
 		if call.DeadlineMs <= 0 || ctx.Err() != nil {
 			break
@@ -40,6 +47,19 @@
 	return silent(r, yuccahinge.ReasonUnreachable), nil
 }
 
+// pause waits before the call numbered n, from 0.
+func pause(ctx context.Context, n int) {
+	if n == 0 {
+		return
+	}
+	timer := time.NewTimer(firstPause << (n - 1))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // ask looks up a claim at its owner.
 func (d *Desk) ask(ctx context.Context, owner yuccahinge.HostID, id yuccahinge.ClaimID) (*yuccahinge.ChargeAnswer, error) {
 	r := &yuccahinge.ChargeRequest{Claim: id}
