Keep the admission bound at the host's share of the slots

Change: the bound never falls below the slots of the shard that has the fewest, divided by the entry hosts; tier works that out from the state. A limiter that refused with one request in flight is a test.

--- a/cmd/yuccahinge/charge.go
+++ b/cmd/yuccahinge/charge.go
@@ -107,7 +107,7 @@
 	case c.json:
 		printJSON(r.ChargeAnswer)
 	case r.Error != nil:
-		fmt.Printf("%s: %s (%s at %s %s)\n", r.Outcome, r.Error.Message, r.Error.Code, r.Error.Step, r.Error.Peer)
+		fmt.Printf("%s: %s\n", r.Outcome, r.Error)
 	default:
 		fmt.Printf("%s: claim %s %s %s\n", r.Outcome, r.Claim, r.Reason, r.Reply)
 	}
--- a/cmd/yuccahinge/main.go
+++ b/cmd/yuccahinge/main.go
@@ -35,7 +35,7 @@
 func run(args []string) int {
 	p := flaggy.NewParser("yuccahinge")
 	p.Description = "An open-source query tier over many shards."
-	p.Version = version
+	p.DisableShowVersionWithVersion()
 	commands := []command{
 		&serveCommand{},
 		&settingsCommand{},
--- a/cmd/yuccahinge/search.go
+++ b/cmd/yuccahinge/search.go
@@ -43,6 +43,14 @@
 	Peer    string          `json:"peer"`
 }
 
+// String renders the error for people.
+func (e *replyError) String() string {
+	if e.Peer != "" {
+		return fmt.Sprintf("%s (%s at step %s, peer %s)", e.Message, e.Code, e.Step, e.Peer)
+	}
+	return fmt.Sprintf("%s (%s at step %s)", e.Message, e.Code, e.Step)
+}
+
 func (c *searchCommand) attach(p *flaggy.Parser) {
 	c.sub = flaggy.NewSubcommand("search")
 	c.sub.Description = "send a search to an entry host"
@@ -89,7 +97,7 @@
 	case c.json:
 		printJSON(r.SearchAnswer)
 	case r.Error != nil:
-		fmt.Printf("%s: %s (%s at %s %s)\n", r.Outcome, r.Error.Message, r.Error.Code, r.Error.Step, r.Error.Peer)
+		fmt.Printf("%s: %s\n", r.Outcome, r.Error)
 	default:
 		printAnswer(&r.SearchAnswer)
 	}
--- a/limit/gate.go
+++ b/limit/gate.go
@@ -29,6 +29,7 @@
 // gate bounds the requests in flight of one service. Admission reads and writes atomics only; the lock
 // is taken once per window.
 type gate struct {
+	service  yuccahinge.ServiceName
 	inFlight atomic.Int64
 	bound    atomic.Int64
 	peak     atomic.Int64
@@ -114,7 +115,7 @@
 // next returns the new bound and ages the uncongested latency.
 func (g *gate) next(congested bool, peak int64, l *Limit) int64 {
 	bound := float64(g.bound.Load())
-	least := float64(l.minimum())
+	least := float64(l.minimum(g.service))
 	switch {
 	case congested && bound <= least:
 		g.base *= baseLift
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -11,6 +11,9 @@
 type Limit struct {
 	// Min and Max bound the requests in flight of one service.
 	Min, Max int
+	// Least returns the requests of a service that this host's share of the searchers' slots can run at once.
+	// The bound never falls below it: latency alone can't tell a full queue from a busy host. Nil for none.
+	Least func(service yuccahinge.ServiceName) int
 	// Tolerance is the latency, as a multiple of the uncongested one, from which a request counts as slow.
 	Tolerance float64
 
@@ -42,17 +45,22 @@
 	if v, ok := l.services.Load(service); ok {
 		return v.(*gate)
 	}
-	g := new(gate)
+	g := &gate{service: service}
 	g.bound.Store(int64(min(initialBound, l.maximum())))
 	v, _ := l.services.LoadOrStore(service, g)
 	return v.(*gate)
 }
 
-func (l *Limit) minimum() int {
+// minimum returns the least bound of a service.
+func (l *Limit) minimum(service yuccahinge.ServiceName) int {
+	least := defaultMin
 	if l.Min > 0 {
-		return l.Min
+		least = l.Min
 	}
-	return defaultMin
+	if l.Least != nil {
+		least = max(least, l.Least(service))
+	}
+	return least
 }
 
 func (l *Limit) maximum() int {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -107,3 +107,25 @@
 		}
 	})
 }
+
+func TestBoundStaysAtTheHostsShareOfTheSlots(t *testing.T) {
+	const share = 20
+	l := &Limit{Least: func(yuccahinge.ServiceName) int { return share }}
+	now := yuccahinge.Millis(0)
+	for window := range 200 {
+		took := yuccahinge.Millis(10)
+		if window > 10 {
+			took = 500 // a busy machine, with every slot free
+		}
+		for range 2 * windowSamples {
+			if !l.Admit(now, "s") {
+				t.Fatalf("refused in window %d with one request in flight", window)
+			}
+			l.Release(now, "s", took, true)
+			now += windowMs
+		}
+	}
+	if got := l.Bound("s"); got < share {
+		t.Errorf("the bound fell to %d, below the host's share of %d", got, share)
+	}
+}
--- a/tier/tier.go
+++ b/tier/tier.go
@@ -59,6 +59,7 @@
 	t.Route.Seed = t.Seed
 	t.Route.Draining = t.draining
 	t.Route.Holds = t.Ready.Holds
+	t.limit.Least = t.ownSlots
 	t.retries.Share = retryShare
 	t.hedges.Share = hedgeShare
 	t.Searchers.Limit = t.connections
