--- /dev/null
+++ b/entry/fuzz_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// FuzzBodies sends any bytes as the body of each route. A refusal must say that nothing ran, and a search
+// that gets through must be within bounds.
+func FuzzBodies(f *testing.F) {
+	f.Add("POST", "/v1/search/s", `{"query":"q","deadlineMs":5,"minTicket":1}`)
+	f.Add("POST", "/v1/claims", `{"service":"s","key":"k"}`)
+	f.Add("POST", "/v1/charge/s", `{"key":"k"}`)
+	f.Fuzz(func(t *testing.T, method, path, body string) {
+		r, err := http.NewRequest(method, "http://host"+path, strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		front := &Front{Searcher: checkedSearcher{t}, Charger: fakeCharger{}}
+		w := httptest.NewRecorder()
+		front.Handler().ServeHTTP(w, r)
+		if w.Code == http.StatusInternalServerError {
+			t.Fatalf("%s %s %q got %d %s", method, path, body, w.Code, w.Body)
+		}
+		if w.Code == http.StatusBadRequest && strings.HasPrefix(path, "/v1/search/") && !strings.Contains(w.Body.String(), `"outcome":"notRun"`) {
+			t.Fatalf("%s %q got %s", path, body, w.Body)
+		}
+	})
+}
+
+// checkedSearcher fails on a request that the front should have refused.
+type checkedSearcher struct{ t *testing.T }
+
+func (s checkedSearcher) Search(_ context.Context, r *yuccahinge.SearchRequest) (*yuccahinge.SearchAnswer, error) {
+	if len(r.Query) == 0 || r.DeadlineMs < 0 || r.DeadlineMs > defaultMaxDeadline {
+		s.t.Errorf("request %+v reached the engine", r)
+	}
+	return &yuccahinge.SearchAnswer{RequestID: r.RequestID, Outcome: yuccahinge.Complete}, nil
+}
