Renew the first attempt when its hedge is late

The trace at p99 shows a hedge that waits 70 ms for a slot; at p999 a first attempt and its hedge are both stragglers, and there is no third replica. Change: when the hedge has been out for a hedge's delay too, the first attempt is canceled and sent anew to its searcher, from the hedge budget. Canceling it gives its slot back.

--- a/gather/action.go
+++ b/gather/action.go
@@ -24,6 +24,8 @@
 	First Cause = "first"
 	// Hedge is sent while an earlier attempt may still reply.
 	Hedge Cause = "hedge"
+	// Renew is sent in place of the first attempt, to the same searcher, when the hedge is late as well.
+	Renew Cause = "renew"
 	// Retry is sent after an earlier attempt has failed.
 	Retry Cause = "retry"
 )
--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -310,3 +310,29 @@
 		t.Fatalf("actions at %v are %v, want a hedge", at, out)
 	}
 }
+
+func TestLateHedgeRenewsTheFirstAttempt(t *testing.T) {
+	g := &Gather{Request: "r", Index: index(1, 2), Deadline: 1000, Hedger: fixedDelay(10)}
+	first := g.Start(0)[0]
+	hedge := g.Tick(10)[0]
+	if hedge.Cause != Hedge || hedge.Searcher == first.Searcher {
+		t.Fatalf("action is %+v, want a hedge at the other searcher", hedge)
+	}
+	out := g.Tick(20)
+	if len(out) != 2 || out[0].Kind != Cancel || out[0].Attempt != first.Attempt {
+		t.Fatalf("actions are %+v, want the first attempt canceled", out)
+	}
+	renewal := out[1]
+	if renewal.Cause != Renew || renewal.Searcher != first.Searcher {
+		t.Fatalf("action is %+v, want a renewal at the first searcher", renewal)
+	}
+	g.Result(21, first.Attempt, failed(yuccahinge.Unknown, yuccahinge.ReasonCanceled))
+	if out := g.Tick(40); len(out) != 0 {
+		t.Fatalf("actions after the renewal are %+v, want none", out)
+	}
+	g.Result(41, renewal.Attempt, reply(renewal))
+	a, _, err := g.Answer()
+	if err != nil || a.Outcome != yuccahinge.Complete {
+		t.Fatalf("answer is %+v with error %v", a, err)
+	}
+}
--- a/gather/result.go
+++ b/gather/result.go
@@ -79,20 +79,26 @@
 
 func (g *Gather) cancel(i int) {
 	for j := range g.attempts {
-		a := &g.attempts[j]
-		if a.ended || a.canceled || (i >= 0 && a.shard != i) {
-			continue
+		if a := &g.attempts[j]; i < 0 || a.shard == i {
+			g.cancelOne(a)
 		}
-		a.canceled = true
-		g.out = append(g.out, Action{
-			Kind:     Cancel,
-			Attempt:  yuccahinge.AttemptID(j + 1),
-			Shard:    g.shards[a.shard].spec.ID,
-			Searcher: a.searcher,
-		})
 	}
 }
 
+// cancelOne gives up an attempt that is still open.
+func (g *Gather) cancelOne(a *attempt) {
+	if a.ended || a.canceled {
+		return
+	}
+	a.canceled = true
+	g.out = append(g.out, Action{
+		Kind:     Cancel,
+		Attempt:  a.id,
+		Shard:    g.shards[a.shard].spec.ID,
+		Searcher: a.searcher,
+	})
+}
+
 // lose counts a lost connection. The first may have been bad luck, so that its shard is asked again after a
 // moment. From the second on the query is the likelier cause, and no more replicas are risked.
 func (g *Gather) lose(now yuccahinge.Millis, a *attempt, s *shard) {
--- a/gather/send.go
+++ b/gather/send.go
@@ -139,10 +139,22 @@
 		}
 		return false
 	}
+	g.send(now, i, searcher, why)
+	return true
+}
+
+// send sends an attempt at a shard to a searcher.
+func (g *Gather) send(now yuccahinge.Millis, i int, searcher yuccahinge.SearcherID, why Cause) {
+	s := &g.shards[i]
 	s.tried[s.sent] = searcher
 	s.sent++
 	s.open++
-	g.attempts = append(g.attempts, attempt{shard: i, searcher: searcher, sentAt: now})
+	g.attempts = append(g.attempts, attempt{
+		id:       yuccahinge.AttemptID(len(g.attempts) + 1),
+		shard:    i,
+		searcher: searcher,
+		sentAt:   now,
+	})
 	if g.Observer != nil {
 		g.Observer.Started(now, searcher)
 	}
@@ -157,7 +169,6 @@
 		Searcher: searcher,
 		Deadline: g.Deadline,
 	})
-	return true
 }
 
 // earn counts a first attempt and sets the time of its hedge.
@@ -216,7 +227,7 @@
 			continue
 		}
 		if s.lateAt <= now || (last && s.hedgeAt <= now) {
-			g.hedge(now, i, s)
+			g.hedgeOrRenew(now, i, s)
 		}
 		g.planHedge(s)
 	}
@@ -238,9 +249,10 @@
 // isLast reports whether only few shards are missing.
 func (g *Gather) isLast() bool { return g.missing() <= max(2, len(g.shards)/hedgeShare) }
 
-// hedge asks another replica of a late shard if there is one and the budget allows it.
-func (g *Gather) hedge(now yuccahinge.Millis, i int, s *shard) {
-	if s.sent >= len(s.spec.Searchers) {
+// hedgeOrRenew sends the next extra attempt at a late shard if there is one and the budget allows it.
+func (g *Gather) hedgeOrRenew(now yuccahinge.Millis, i int, s *shard) {
+	first := g.openFirst(i)
+	if s.hedged && first == nil || !s.hedged && s.sent >= len(s.spec.Searchers) {
 		s.hedgeAt = 0
 		return
 	}
@@ -250,7 +262,36 @@
 		return
 	}
 	s.hedgeAt = 0
-	g.ask(now, i, Hedge)
+	if s.hedged {
+		g.renew(now, i, first)
+		return
+	}
+	s.hedged = true
+	if g.ask(now, i, Hedge) {
+		s.hedgeAt = now + g.hedgeDelay(now, s)
+		s.lateAt = s.hedgeAt
+	}
+}
+
+// renew gives up the first attempt at a shard and asks its searcher anew: a call that is late beside its hedge
+// is more likely to be a straggler itself than to wait for one, and holds a slot.
+func (g *Gather) renew(now yuccahinge.Millis, i int, first *attempt) {
+	searcher := first.searcher
+	g.cancelOne(first)
+	g.send(now, i, searcher, Renew)
+}
+
+// openFirst returns the first attempt at a shard while it has neither ended nor been canceled.
+func (g *Gather) openFirst(i int) *attempt {
+	for j := range g.attempts {
+		if a := &g.attempts[j]; a.shard == i {
+			if a.ended || a.canceled {
+				return nil
+			}
+			return a
+		}
+	}
+	return nil
 }
 
 // planHedge counts the shard's hedge among the next.
--- a/gather/shard.go
+++ b/gather/shard.go
@@ -2,8 +2,8 @@
 
 import "github.com/yuccahinge/yuccahinge"
 
-// maxTried bounds the attempts at one shard: the first, a hedge and a retry.
-const maxTried = 3
+// maxTried bounds the attempts at one shard: the first, a hedge, a renewal and a retry.
+const maxTried = 4
 
 // shard is the progress of one shard.
 type shard struct {
@@ -12,6 +12,7 @@
 	reason  yuccahinge.Reason
 	lacking bool
 	retried bool
+	hedged  bool
 	open    int // attempts in flight
 	sent    int // attempts sent
 	tried   [maxTried]yuccahinge.SearcherID
@@ -30,6 +31,7 @@
 
 // attempt is one call at a searcher.
 type attempt struct {
+	id       yuccahinge.AttemptID
 	shard    int
 	searcher yuccahinge.SearcherID
 	sentAt   yuccahinge.Millis
--- a/query/run.go
+++ b/query/run.go
@@ -228,7 +228,7 @@
 
 func sendCode(c gather.Cause) yuccahinge.EventCode {
 	switch c {
-	case gather.Hedge:
+	case gather.Hedge, gather.Renew:
 		return event.AttemptHedged
 	case gather.Retry:
 		return event.AttemptRetried
