Let the picker have its say in a renewal

A host that had just learned that a searcher leaves renewed an attempt there, since the renewal went to the first attempt's searcher without asking the picker. Ruled out: the spread of the notice (the host itself knew). Change: the picker chooses among all replicas but the hedge's; where it has none, the first attempt goes on.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -336,3 +336,26 @@
 		t.Fatalf("answer is %+v with error %v", a, err)
 	}
 }
+
+// drained is a Picker that takes the first replica that is not tried, none that is leaving.
+type drained struct{ leaving yuccahinge.SearcherID }
+
+func (d *drained) Pick(_ yuccahinge.Millis, _ *yuccahinge.Index, s *yuccahinge.Shard, tried []yuccahinge.SearcherID) (yuccahinge.SearcherID, bool) {
+	for _, id := range s.Searchers {
+		if id != d.leaving && !slices.Contains(tried, id) {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+func TestRenewalSparesALeavingSearcher(t *testing.T) {
+	p := &drained{}
+	g := &Gather{Request: "r", Index: index(1, 2), Deadline: 1000, Hedger: fixedDelay(10), Picker: p}
+	first := g.Start(0)[0]
+	g.Tick(10)
+	p.leaving = first.Searcher
+	if out := g.Tick(20); len(out) != 0 {
+		t.Fatalf("actions are %+v, want none at a searcher that is leaving", out)
+	}
+}
--- a/gather/send.go
+++ b/gather/send.go
@@ -132,7 +132,7 @@
 	if s.sent == maxTried {
 		return false
 	}
-	searcher, ok := g.pick(now, s)
+	searcher, ok := g.pick(now, s, s.tried[:s.sent])
 	if !ok {
 		if s.open == 0 {
 			g.lack(s, yuccahinge.ReasonUnreachable)
@@ -200,8 +200,8 @@
 	return (end - now) / blindShare
 }
 
-func (g *Gather) pick(now yuccahinge.Millis, s *shard) (yuccahinge.SearcherID, bool) {
-	tried := s.tried[:s.sent]
+// pick chooses a searcher of the shard that is not in tried.
+func (g *Gather) pick(now yuccahinge.Millis, s *shard, tried []yuccahinge.SearcherID) (yuccahinge.SearcherID, bool) {
 	if g.Picker != nil {
 		return g.Picker.Pick(now, g.Index, s.spec, tried)
 	}
@@ -273,10 +273,21 @@
 	}
 }
 
-// renew gives up the first attempt at a shard and asks its searcher anew: a call that is late beside its hedge
-// is more likely to be a straggler itself than to wait for one, and holds a slot.
+// renew gives up the first attempt at a shard and asks anew, its own searcher too: a call that is late beside
+// its hedge is more likely to be a straggler itself than to wait for one, and holds a slot. The Picker has
+// its say, since the searcher may be leaving by now.
 func (g *Gather) renew(now yuccahinge.Millis, i int, first *attempt) {
-	searcher := first.searcher
+	s := &g.shards[i]
+	others := make([]yuccahinge.SearcherID, 0, maxTried)
+	for _, id := range s.tried[:s.sent] {
+		if id != first.searcher {
+			others = append(others, id)
+		}
+	}
+	searcher, ok := g.pick(now, s, others)
+	if !ok {
+		return
+	}
 	g.cancelOne(first)
 	g.send(now, i, searcher, Renew)
 }
