--- a/event/names_test.go
+++ b/event/names_test.go
@@ -1,9 +1,13 @@
 package event
 
 import (
+	"bytes"
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
+	"strings"
 	"testing"
 )
 
@@ -36,3 +40,24 @@
 		seen[name] = true
 	}
 }
+
+func TestEveryCodeIsRecordedSomewhere(t *testing.T) {
+	var sources bytes.Buffer
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		sources.Write(data)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for code, name := range All() {
+		constant := "event." + strings.ToUpper(name[:1]) + name[1:]
+		if !regexp.MustCompile(regexp.QuoteMeta(constant) + `\b`).Match(sources.Bytes()) {
+			t.Errorf("nothing records %d %s", code, name)
+		}
+	}
+}
--- a/event/search.go
+++ b/event/search.go
@@ -14,7 +14,6 @@
 	ReplyInvalid     yuccahinge.EventCode = 207
 	DuplicateHit     yuccahinge.EventCode = 208
 	QueryQuarantined yuccahinge.EventCode = 209
-	VersionSwitched  yuccahinge.EventCode = 210
 )
 
 var searchNames = map[yuccahinge.EventCode]string{
@@ -28,5 +27,4 @@
 	ReplyInvalid:     "replyInvalid",
 	DuplicateHit:     "duplicateHit",
 	QueryQuarantined: "queryQuarantined",
-	VersionSwitched:  "versionSwitched",
 }
