Move shells, wiring and stand-ins under internal/

Some 60 packages lay flat at the root, so that a newcomer could not tell what others may embed from what only our daemon uses. The decision parts and the root package keep their import paths; shells go to internal/front, internal/call, internal/peers and internal/state, wiring to internal/host, metrics and operators' reports to internal/view, stand-ins and benches to internal/trial.

--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -12,8 +12,8 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
-	"github.com/yuccahinge/yuccahinge/bench/scene"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/scene"
 )
 
 // Exit codes.
--- a/cmd/bench/sides.go
+++ b/cmd/bench/sides.go
@@ -4,8 +4,8 @@
 	"fmt"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
-	"github.com/yuccahinge/yuccahinge/bench/scene"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/scene"
 )
 
 // The names of the two usual sides.
--- a/cmd/bench/table.go
+++ b/cmd/bench/table.go
@@ -8,7 +8,7 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/yuccahinge/yuccahinge/bench/scene"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/scene"
 )
 
 func printTable(r *scene.Result, trace bool) {
--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -16,7 +16,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
 )
 
 const (
--- a/cmd/size/main.go
+++ b/cmd/size/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"github.com/yuccahinge/yuccahinge/bench/size"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/size"
 )
 
 func main() {
--- a/cmd/spread/main.go
+++ b/cmd/spread/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/bench/peers"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/peers"
 )
 
 const (
--- a/cmd/spread/table.go
+++ b/cmd/spread/table.go
@@ -4,7 +4,7 @@
 	"fmt"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/peers"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/peers"
 )
 
 func printHead() {
--- a/cmd/standin/link.go
+++ b/cmd/standin/link.go
@@ -6,7 +6,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/link"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/link"
 )
 
 type linkCommand struct {
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -5,7 +5,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/standin/plat"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/plat"
 )
 
 type platformCommand struct {
--- a/cmd/standin/searcher.go
+++ b/cmd/standin/searcher.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
 )
 
 type searcherCommand struct {
--- a/cmd/yuccahinge/serve.go
+++ b/cmd/yuccahinge/serve.go
@@ -9,8 +9,8 @@
 	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
 
-	"github.com/yuccahinge/yuccahinge/config"
-	"github.com/yuccahinge/yuccahinge/node"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/host/node"
 )
 
 var errSettingsMissing = errors.New("--settings is missing: the file with the settings")
--- a/cmd/yuccahinge/settings.go
+++ b/cmd/yuccahinge/settings.go
@@ -7,7 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/config"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
 )
 
 var errFileMissing = errors.New("name a file: settings check FILE")
--- a/cmd/yuccahinge/status.go
+++ b/cmd/yuccahinge/status.go
@@ -6,7 +6,7 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/opctl"
+	"github.com/yuccahinge/yuccahinge/internal/view/opctl"
 )
 
 type statusCommand struct {
--- a/cmd/yuccahinge/ticket.go
+++ b/cmd/yuccahinge/ticket.go
@@ -11,7 +11,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/fetch"
-	"github.com/yuccahinge/yuccahinge/opctl"
+	"github.com/yuccahinge/yuccahinge/internal/view/opctl"
 	"github.com/yuccahinge/yuccahinge/ticket"
 )
 
--- a/config/page_test.go
+++ b/internal/host/config/page_test.go
@@ -30,7 +30,7 @@
 	var page strings.Builder
 	page.WriteString(pageHead)
 	rows(&page, "", schema())
-	g := goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md"))
+	g := goldie.New(t, goldie.WithFixtureDir("../../../docs"), goldie.WithNameSuffix(".md"))
 	g.Assert(t, "SETTINGS", []byte(page.String()))
 }
 
--- a/node/input_test.go
+++ b/internal/host/node/input_test.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/config"
-	"github.com/yuccahinge/yuccahinge/standin/back"
-	"github.com/yuccahinge/yuccahinge/standin/plat"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/plat"
 )
 
 const (
--- a/node/node.go
+++ b/internal/host/node/node.go
@@ -11,10 +11,10 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
-	"github.com/yuccahinge/yuccahinge/config"
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/hybrid"
-	"github.com/yuccahinge/yuccahinge/meter"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 )
 
 // Node is an entry host. Set Settings, call Listen, then Run.
--- a/node/ports.go
+++ b/internal/host/node/ports.go
@@ -5,7 +5,7 @@
 	"net"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/config"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
 )
 
 // ports are the three listeners of a host.
--- a/node/wire.go
+++ b/internal/host/node/wire.go
@@ -5,8 +5,8 @@
 	"net/http"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/admin"
-	"github.com/yuccahinge/yuccahinge/source"
+	"github.com/yuccahinge/yuccahinge/internal/front/admin"
+	"github.com/yuccahinge/yuccahinge/internal/state/source"
 )
 
 // wire fills the parts from the settings. It opens no socket and starts no goroutine.
--- a/tier/tier.go
+++ b/internal/host/tier/tier.go
@@ -7,14 +7,14 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/budget"
 	"github.com/yuccahinge/yuccahinge/hedge"
+	"github.com/yuccahinge/yuccahinge/internal/call/probe"
+	"github.com/yuccahinge/yuccahinge/internal/call/search"
+	"github.com/yuccahinge/yuccahinge/internal/front/query"
 	"github.com/yuccahinge/yuccahinge/leave"
 	"github.com/yuccahinge/yuccahinge/limit"
 	"github.com/yuccahinge/yuccahinge/poison"
-	"github.com/yuccahinge/yuccahinge/probe"
-	"github.com/yuccahinge/yuccahinge/query"
 	"github.com/yuccahinge/yuccahinge/ready"
 	"github.com/yuccahinge/yuccahinge/route"
-	"github.com/yuccahinge/yuccahinge/search"
 	"github.com/yuccahinge/yuccahinge/share"
 )
 
--- a/peer/peer.go
+++ b/internal/peers/peer/peer.go
@@ -4,7 +4,7 @@
 import (
 	"github.com/cockroachdb/errors"
 
-	"github.com/yuccahinge/yuccahinge/frame"
+	"github.com/yuccahinge/yuccahinge/internal/peers/frame"
 )
 
 // NeverSent reports whether err proves that the peer did not receive the call.
--- a/peer/server.go
+++ b/internal/peers/peer/server.go
@@ -18,8 +18,8 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
 	"github.com/yuccahinge/yuccahinge/event"
-	"github.com/yuccahinge/yuccahinge/frame"
 	"github.com/yuccahinge/yuccahinge/hybrid"
+	"github.com/yuccahinge/yuccahinge/internal/peers/frame"
 )
 
 // Bounds of connections.
--- a/pool/bench_test.go
+++ b/internal/peers/pool/bench_test.go
@@ -5,7 +5,7 @@
 	"net"
 	"testing"
 
-	"github.com/yuccahinge/yuccahinge/peer"
+	"github.com/yuccahinge/yuccahinge/internal/peers/peer"
 )
 
 // benchPeer starts a server that echoes and returns its address.
--- a/pool/line.go
+++ b/internal/peers/pool/line.go
@@ -12,7 +12,7 @@
 	"storj.io/drpc/drpcwire"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/frame"
+	"github.com/yuccahinge/yuccahinge/internal/peers/frame"
 )
 
 // line holds the connections to one address.
--- a/pool/pool.go
+++ b/internal/peers/pool/pool.go
@@ -10,8 +10,8 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
-	"github.com/yuccahinge/yuccahinge/frame"
 	"github.com/yuccahinge/yuccahinge/hybrid"
+	"github.com/yuccahinge/yuccahinge/internal/peers/frame"
 )
 
 // Defaults of the fields that are zero.
--- a/pool/pool_test.go
+++ b/internal/peers/pool/pool_test.go
@@ -14,9 +14,9 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
-	"github.com/yuccahinge/yuccahinge/frame"
 	"github.com/yuccahinge/yuccahinge/hybrid"
-	"github.com/yuccahinge/yuccahinge/peer"
+	"github.com/yuccahinge/yuccahinge/internal/peers/frame"
+	"github.com/yuccahinge/yuccahinge/internal/peers/peer"
 )
 
 // refusals passes on the events that say that a peer was refused.
--- a/bench/fleet/fleet.go
+++ b/internal/trial/bench/fleet/fleet.go
@@ -8,8 +8,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/back"
-	"github.com/yuccahinge/yuccahinge/standin/link"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/link"
 )
 
 // Fleet is the searchers of a plan and a link to each from each other domain.
--- a/bench/peers/host.go
+++ b/internal/trial/bench/peers/host.go
@@ -12,9 +12,9 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
 	"github.com/yuccahinge/yuccahinge/event"
-	"github.com/yuccahinge/yuccahinge/keeper"
-	"github.com/yuccahinge/yuccahinge/peer"
-	"github.com/yuccahinge/yuccahinge/pool"
+	"github.com/yuccahinge/yuccahinge/internal/peers/peer"
+	"github.com/yuccahinge/yuccahinge/internal/peers/pool"
+	"github.com/yuccahinge/yuccahinge/internal/state/keeper"
 )
 
 // host is a keeper with its peer server and pool, on the loopback interface.
--- a/bench/scene/baseline.go
+++ b/internal/trial/bench/scene/baseline.go
@@ -1,6 +1,6 @@
 package scene
 
-import "github.com/yuccahinge/yuccahinge/bench/naive"
+import "github.com/yuccahinge/yuccahinge/internal/trial/bench/naive"
 
 // Baseline returns the side of the plain implementation.
 func Baseline(connections int) Side {
--- a/bench/scene/cut.go
+++ b/internal/trial/bench/scene/cut.go
@@ -4,8 +4,8 @@
 	"fmt"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 func domainCut() Scene {
--- a/bench/scene/figures.go
+++ b/internal/trial/bench/scene/figures.go
@@ -4,7 +4,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
 )
 
 // Figures sum up a selection of searches. Latencies are those of answered searches.
--- a/bench/scene/gone.go
+++ b/internal/trial/bench/scene/gone.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
 )
 
 func frozen() Scene {
--- a/bench/scene/lying.go
+++ b/internal/trial/bench/scene/lying.go
@@ -1,7 +1,7 @@
 package scene
 
 import (
-	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
 )
 
 const (
--- a/bench/scene/member.go
+++ b/internal/trial/bench/scene/member.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
 )
 
 // leaveTime is the time from a searcher's drain to its end.
--- a/bench/scene/overload.go
+++ b/internal/trial/bench/scene/overload.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 func overload() Scene {
--- a/bench/scene/report.go
+++ b/internal/trial/bench/scene/report.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
 )
 
 // Report is what one side of a run came to.
--- a/bench/scene/result.go
+++ b/internal/trial/bench/scene/result.go
@@ -1,6 +1,6 @@
 package scene
 
-import "github.com/yuccahinge/yuccahinge/bench/fleet"
+import "github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 
 // Result is a run of one scenario on all sides.
 type Result struct {
--- a/bench/scene/scene.go
+++ b/internal/trial/bench/scene/scene.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 // Scene is one scenario.
--- a/bench/scene/shipped.go
+++ b/internal/trial/bench/scene/shipped.go
@@ -9,7 +9,7 @@
 	"github.com/yuccahinge/yuccahinge/clock"
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/hybrid"
-	"github.com/yuccahinge/yuccahinge/tier"
+	"github.com/yuccahinge/yuccahinge/internal/host/tier"
 )
 
 // Shipped returns the side of the daemon's own wiring. Adapt changes a host's tier before its first
--- a/bench/scene/side.go
+++ b/internal/trial/bench/scene/side.go
@@ -4,7 +4,7 @@
 	"context"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 // Host is an entry host under test.
--- a/bench/scene/storm.go
+++ b/internal/trial/bench/scene/storm.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
 )
 
 // restartEvery is the time from one host's restart to the next.
--- a/bench/scene/trace.go
+++ b/internal/trial/bench/scene/trace.go
@@ -6,8 +6,8 @@
 	"slices"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
 )
 
 // tracer is a host that keeps its part of the time line.
--- a/bench/scene/variant.go
+++ b/internal/trial/bench/scene/variant.go
@@ -4,8 +4,8 @@
 	"slices"
 	"strings"
 
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
-	"github.com/yuccahinge/yuccahinge/tier"
+	"github.com/yuccahinge/yuccahinge/internal/host/tier"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 
 	"github.com/yuccahinge/yuccahinge"
 )
--- a/bench/scene/version.go
+++ b/internal/trial/bench/scene/version.go
@@ -4,9 +4,9 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
-	"github.com/yuccahinge/yuccahinge/standin/back"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/back"
 )
 
 const (
--- a/bench/scene/watch.go
+++ b/internal/trial/bench/scene/watch.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/bench/drive"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/drive"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 // mark is what the counters and clocks of the machine read at the end of a phase.
--- a/bench/scene/world.go
+++ b/internal/trial/bench/scene/world.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/bench/fleet"
+	"github.com/yuccahinge/yuccahinge/internal/trial/bench/fleet"
 )
 
 // World is the fleet and the entry hosts of one side while a scenario runs.
--- a/proof/process_test.go
+++ b/internal/trial/proof/process_test.go
@@ -27,7 +27,7 @@
 		panic(err)
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	cmd := exec.Command("go", "build", "-o", dir, "../cmd/yuccahinge", "../cmd/standin")
+	cmd := exec.Command("go", "build", "-o", dir, "../../../cmd/yuccahinge", "../../../cmd/standin")
 	if out, err := cmd.CombinedOutput(); err != nil {
 		panic(string(out))
 	}
--- a/standin/back/life.go
+++ b/internal/trial/standin/back/life.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // crashCode is the exit code of a process that a marked query crashed.
--- a/standin/back/listener.go
+++ b/internal/trial/standin/back/listener.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/standin/gate"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/gate"
 )
 
 // listener caps the connections and makes each new one cost connect time.
--- a/standin/back/load.go
+++ b/internal/trial/standin/back/load.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 const (
--- a/standin/back/query.go
+++ b/internal/trial/standin/back/query.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // hugeBytes is the size of a reply under the HugeReply fault.
--- a/standin/back/searcher.go
+++ b/internal/trial/standin/back/searcher.go
@@ -16,8 +16,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/gate"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/gate"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // Searcher is a stand-in searcher. Set Config, call Listen, then Run.
--- a/standin/link/faults.go
+++ b/internal/trial/standin/link/faults.go
@@ -4,7 +4,7 @@
 	"net/http"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // Faults are what POST /control changes. Fields that a request does not name stay as they are.
--- a/standin/link/link.go
+++ b/internal/trial/standin/link/link.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"github.com/yuccahinge/yuccahinge/standin/gate"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/gate"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // Link is a relay from ListenAddr to Target. Set the addresses, call Listen, then Run.
--- a/standin/link/relay.go
+++ b/internal/trial/standin/link/relay.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/yuccahinge/yuccahinge/standin/gate"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/gate"
 )
 
 const (
--- a/standin/plat/platform.go
+++ b/internal/trial/standin/plat/platform.go
@@ -11,8 +11,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/gate"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/gate"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 )
 
 // Platform is a stand-in platform. Set the addresses, call Listen, then Run.
--- a/standin/plat/read.go
+++ b/internal/trial/standin/plat/read.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/standin/wire"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/wire"
 	"github.com/yuccahinge/yuccahinge/ticket"
 )
 
