--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,7 +1,11 @@
 // Package budget provides a budget of extra attempts, earned as a share of first attempts.
 package budget
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"github.com/yuccahinge/yuccahinge"
+)
 
 const (
 	// defaultShare is the share of first attempts that may be repeated.
@@ -23,8 +27,8 @@
 	spent atomic.Int64
 }
 
-// Earn counts n first attempts.
-func (b *Budget) Earn(n int) {
+// Earn counts n first attempts of any group.
+func (b *Budget) Earn(_ yuccahinge.Millis, _ yuccahinge.ServiceName, n int) {
 	earned := int64(b.share() * float64(n) * unit)
 	for {
 		old := b.spent.Load()
@@ -38,7 +42,7 @@
 }
 
 // Take reports whether one extra attempt may start, and charges it.
-func (b *Budget) Take() bool {
+func (b *Budget) Take(_ yuccahinge.Millis, _ yuccahinge.ServiceName) bool {
 	limit := int64(b.burst()) * unit
 	for {
 		old := b.spent.Load()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -13,11 +13,11 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"earn": func(t *rapid.T) {
 				n := rapid.IntRange(1, 30).Draw(t, "n")
-				b.Earn(n)
+				b.Earn(0, "", n)
 				first += n
 			},
 			"take": func(*rapid.T) {
-				if b.Take() {
+				if b.Take(0, "") {
 					extra++
 				}
 			},
@@ -32,11 +32,11 @@
 
 func TestRecovers(t *testing.T) {
 	b := Budget{Share: 0.1, Burst: 1}
-	if !b.Take() || b.Take() {
+	if !b.Take(0, "") || b.Take(0, "") {
 		t.Fatal("the burst is not one")
 	}
-	b.Earn(10)
-	if !b.Take() {
+	b.Earn(0, "", 10)
+	if !b.Take(0, "") {
 		t.Fatal("ten first attempts did not earn an extra one")
 	}
 }
--- a/cmd/yuccahinge/main.go
+++ b/cmd/yuccahinge/main.go
@@ -38,6 +38,7 @@
 	p.DisableShowVersionWithVersion()
 	commands := []command{
 		&serveCommand{},
+		&entryCommand{},
 		&settingsCommand{},
 		&searchCommand{},
 		&chargeCommand{},
--- a/error.go
+++ b/error.go
@@ -1,6 +1,9 @@
 package yuccahinge
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
 
 // Step names the step of a request or of a background task at which an error arose.
 type Step string
@@ -49,6 +52,8 @@
 	Message string
 	// Outcome says what is known of whether the request ran; empty stands for Unknown.
 	Outcome Outcome
+	// RetryAfterMs is when the caller may come back with a request that did not run; zero says nothing.
+	RetryAfterMs Millis
 	// Err is the cause, or nil.
 	Err error
 }
@@ -67,3 +72,12 @@
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
+
+// CodeOf returns the code of the first Error that err wraps, or an empty one.
+func CodeOf(err error) Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
--- a/event.go
+++ b/event.go
@@ -33,4 +33,6 @@
 	Claim    ClaimID      `json:"claim,omitempty"`
 	Peer     string       `json:"peer,omitempty"`
 	Detail   string       `json:"detail,omitempty"`
+	// TookMs is the time since the request arrived or the attempt was sent.
+	TookMs Millis `json:"tookMs,omitempty"`
 }
--- a/gather/answer.go
+++ b/gather/answer.go
@@ -32,7 +32,7 @@
 
 func (g *Gather) due(now yuccahinge.Millis) bool {
 	switch {
-	case g.poisoned, g.missing() == 0, now >= g.Deadline:
+	case g.poisoned, g.missing() == 0, now >= g.Deadline, g.hopeless():
 		return true
 	case g.SoftDeadline == 0 || now < g.SoftDeadline:
 		return false
@@ -42,6 +42,15 @@
 	}
 }
 
+// hopeless reports whether too many shards are lacking for an answer.
+func (g *Gather) hopeless() bool {
+	if g.LeastCoverage == 0 {
+		return false
+	}
+	n := len(g.shards)
+	return float64(n-(g.settled-g.covered)) < g.LeastCoverage*float64(n)
+}
+
 // lateReason says why a shard that has not settled is lacking at the end.
 func (g *Gather) lateReason(s *shard) yuccahinge.Reason {
 	switch {
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -44,6 +44,16 @@
 	Proven bool
 	// Suspect says that the query lost a searcher before. It is neither hedged nor retried.
 	Suspect bool
+	// LeastCoverage is the share of shards without which there is no answer: the query ends as soon as that can't
+	// be reached. Zero lets it go on.
+	LeastCoverage float64
+	// Attempts bounds the searchers that each shard may reach; zero takes the usual bound.
+	Attempts int
+	// AtMostOnce says that the query must not run twice: it is never hedged, and only an attempt that did not run
+	// is repeated.
+	AtMostOnce bool
+	// KeepFirst leaves a late first attempt be: another hedge goes to the next replica instead of a renewal.
+	KeepFirst bool
 	// SuspectShard is where a suspect query lost a searcher. It is asked first.
 	SuspectShard yuccahinge.ShardID
 
@@ -185,6 +195,38 @@
 // query it tells of the load of the whole service and not of a straggler or of a domain that is cut off.
 func (g *Gather) HalfAt() (yuccahinge.Millis, bool) { return g.halfAt, g.halfAt > 0 }
 
+// Covered returns the number of shards that replied.
+func (g *Gather) Covered() int { return g.covered }
+
+// Replies calls f for the reply of each covered shard.
+func (g *Gather) Replies(f func(spec *yuccahinge.Shard, r *yuccahinge.ShardReply)) {
+	for i := range g.shards {
+		if s := &g.shards[i]; s.reply != nil {
+			f(s.spec, s.reply)
+		}
+	}
+}
+
+// Reason returns why the first shard that is lacking has no reply.
+func (g *Gather) Reason() yuccahinge.Reason {
+	for i := range g.shards {
+		if s := &g.shards[i]; s.lacking {
+			return s.reason
+		}
+	}
+	return ""
+}
+
+// NoneRan reports whether every attempt that ended did so with proof that it did not run, and none is open.
+func (g *Gather) NoneRan() bool {
+	for i := range g.attempts {
+		if a := &g.attempts[i]; !a.ended || !a.notRun {
+			return false
+		}
+	}
+	return true
+}
+
 // Invalid returns the replies that did not count because they were late, doubled or of another request.
 func (g *Gather) Invalid() int { return g.invalid }
 
--- a/gather/result.go
+++ b/gather/result.go
@@ -30,11 +30,14 @@
 		return
 	}
 	s.reason = r.Reason
-	if r.Reason == yuccahinge.ReasonLost {
+	switch {
+	case g.AtMostOnce && !a.notRun:
+		g.lack(s, r.Reason)
+	case r.Reason == yuccahinge.ReasonLost:
 		g.lose(now, a, s)
-		return
+	default:
+		g.again(now, a.shard, s)
 	}
-	g.again(now, a.shard, s)
 }
 
 // genuine reports whether what a result says rests on a reply to this attempt. Without a reply it can only say that
@@ -147,11 +150,11 @@
 		g.nextCanary(now, s)
 		return
 	}
-	if s.retried || g.Suspect || now >= g.Deadline {
+	if s.retried && g.Attempts == 0 || g.Suspect || now >= g.Deadline {
 		g.lack(s, s.reason)
 		return
 	}
-	if g.RetryBudget != nil && !g.RetryBudget.Take() {
+	if g.RetryBudget != nil && !g.RetryBudget.Take(now, s.spec.Group) {
 		g.lack(s, s.reason)
 		return
 	}
--- a/gather/send.go
+++ b/gather/send.go
@@ -129,7 +129,7 @@
 // ask sends an attempt at a shard, or settles the shard as lacking when there is nobody left to ask.
 func (g *Gather) ask(now yuccahinge.Millis, i int, why Cause) bool {
 	s := &g.shards[i]
-	if s.sent == maxTried {
+	if s.sent == g.mostTried() {
 		return false
 	}
 	searcher, ok := g.pick(now, s, s.tried[:s.sent])
@@ -143,6 +143,13 @@
 	return true
 }
 
+func (g *Gather) mostTried() int {
+	if g.Attempts > 0 {
+		return min(g.Attempts, maxTried)
+	}
+	return maxTried
+}
+
 // send sends an attempt at a shard to a searcher.
 func (g *Gather) send(now yuccahinge.Millis, i int, searcher yuccahinge.SearcherID, why Cause) {
 	s := &g.shards[i]
@@ -174,12 +181,12 @@
 // earn counts a first attempt and sets the time of its hedge.
 func (g *Gather) earn(now yuccahinge.Millis, s *shard) {
 	if g.RetryBudget != nil {
-		g.RetryBudget.Earn(1)
+		g.RetryBudget.Earn(now, s.spec.Group, 1)
 	}
 	if g.HedgeBudget != nil {
-		g.HedgeBudget.Earn(1)
+		g.HedgeBudget.Earn(now, s.spec.Group, 1)
 	}
-	if g.Hedger == nil || g.Suspect {
+	if g.Hedger == nil || g.Suspect || g.AtMostOnce {
 		return
 	}
 	d := g.hedgeDelay(now, s)
@@ -252,17 +259,18 @@
 // hedgeOrRenew sends the next extra attempt at a late shard if there is one and the budget allows it.
 func (g *Gather) hedgeOrRenew(now yuccahinge.Millis, i int, s *shard) {
 	first := g.openFirst(i)
-	if s.hedged && first == nil || !s.hedged && s.sent >= len(s.spec.Searchers) {
+	renewing := s.hedged && !g.KeepFirst
+	if s.sent == g.mostTried() || renewing && first == nil || !renewing && s.sent >= len(s.spec.Searchers) {
 		s.hedgeAt = 0
 		return
 	}
-	if g.HedgeBudget != nil && !g.HedgeBudget.Take() {
+	if g.HedgeBudget != nil && !g.HedgeBudget.Take(now, s.spec.Group) {
 		s.hedgeAt = now + hedgeAgainMs
 		s.lateAt = s.hedgeAt
 		return
 	}
 	s.hedgeAt = 0
-	if s.hedged {
+	if renewing {
 		g.renew(now, i, first)
 		return
 	}
--- a/index.go
+++ b/index.go
@@ -17,6 +17,8 @@
 	From      uint32       `json:"from"`
 	To        uint32       `json:"to"`
 	Searchers []SearcherID `json:"searchers"`
+	// Group is the service whose searchers are the replicas where each shard has a service of its own.
+	Group ServiceName `json:"-"`
 }
 
 // Protocol names the HTTP version that a searcher speaks.
@@ -39,4 +41,6 @@
 	// ConnectMs is what a new connection costs.
 	ConnectMs Millis   `json:"connectMs,omitempty"`
 	Protocol  Protocol `json:"protocol,omitempty"`
+	// Instance is the name that a request must give, so that no other searcher at the address runs it.
+	Instance string `json:"-"`
 }
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -62,6 +62,10 @@
 	// FinishHTTP1 leaves needless calls over HTTP/1.1 to finish, which keeps their connections but holds the
 	// searchers' slots.
 	FinishHTTP1 bool
+	// Sparse leaves events of attempts out that went as they should.
+	Sparse bool
+	// LeadMs is the time before its objective at which the answer to a Forward leaves.
+	LeadMs yuccahinge.Millis
 	// ReturnMs is kept back from the deadline for the way of the answer.
 	ReturnMs yuccahinge.Millis
 	// MaxDeadlineMs is the longest deadline that a caller may name.
@@ -113,13 +117,24 @@
 	if e.Limiter != nil && !e.Limiter.Admit(now, r.Service) {
 		return nil, fail(yuccahinge.CodeUnavailable, yuccahinge.StepAdmit, "the service is over its capacity")
 	}
-	q := &run{engine: e, request: r, state: state, service: service, mark: mark}
-	q.prepare(arrived, deadline, verdict)
-	answer, err := q.do(ctx)
+	q := &run{engine: e, mark: mark, job: job{
+		request:  r.RequestID,
+		service:  r.Service,
+		ticket:   state.Ticket,
+		index:    e.index(now, r.Service, service),
+		query:    r.Query,
+		calendar: state.Calendars[service.Calendar],
+	}}
+	q.prepareSearch(service, arrived, deadline, verdict)
+	err = q.do(ctx)
 	e.release(arrived, q)
 	if err != nil {
 		return nil, err
 	}
+	answer, err := q.answer()
+	if err != nil {
+		return nil, err
+	}
 	answer.StateAgeMs = age
 	return answer, nil
 }
@@ -135,7 +150,7 @@
 	if !ok {
 		half = now
 	}
-	e.Limiter.Release(now, q.request.Service, half-arrived, ok)
+	e.Limiter.Release(now, q.service, half-arrived, ok)
 }
 
 func (e *Engine) validate(r *yuccahinge.SearchRequest) error {
--- /dev/null
+++ b/internal/front/query/forward.go
@@ -0,0 +1,188 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/merge"
+)
+
+const (
+	// goneMs is how long a call may go on after its caller has left. Most end by themselves in this time and keep
+	// their connections; a longer one wastes a searcher's slot.
+	goneMs yuccahinge.Millis = 250
+	// defaultLead fits callers a few milliseconds away.
+	defaultLead yuccahinge.Millis = 8
+	// crowdedMs is when a caller may come back after every searcher that could serve it was full.
+	crowdedMs yuccahinge.Millis = 60
+	// goneAgainMs is when a caller may come back while no searcher can be reached.
+	goneAgainMs yuccahinge.Millis = 400
+)
+
+// Forward is a caller's request that searchers receive as it came.
+type Forward struct {
+	Request yuccahinge.RequestID
+	Ticket  yuccahinge.TicketNumber
+	Route   *yuccahinge.Route
+	// Index holds a shard for each service of the route, or one for a lookup.
+	Index   *yuccahinge.Index
+	Message *yuccahinge.Message
+	Arrived yuccahinge.Millis
+	// Deadline is when the caller stops waiting.
+	Deadline yuccahinge.Millis
+}
+
+// Forwarded is the answer to a Forward.
+type Forwarded struct {
+	// Response is the searcher's answer to a lookup, a failure too; nil for a scattered request.
+	Response *yuccahinge.Response
+	// Records are the greatest records of the shards whose replies bear Signatures; Missing shards are left out.
+	Records    []byte
+	Signatures []string
+	Missing    int
+}
+
+// Forward sends a request to the searchers of its route. An error is a *yuccahinge.Error; its Outcome is NotRun
+// only if no searcher ran the request and none will.
+func (e *Engine) Forward(ctx context.Context, f *Forward) (*Forwarded, error) {
+	answer, err := e.forward(ctx, f)
+	v := yuccahinge.Event{Code: event.SearchAnswered, Request: f.Request, Service: yuccahinge.ServiceName(f.Route.Name), Ticket: f.Ticket}
+	switch {
+	case err != nil:
+		v.Code = event.SearchRefused
+		v.Detail = err.Error()
+	case answer.Missing > 0:
+		v.Detail = string(yuccahinge.Partial)
+	}
+	if e.Recorder != nil {
+		v.TookMs = e.now() - f.Arrived
+		e.record(v)
+	}
+	return answer, err
+}
+
+func (e *Engine) forward(ctx context.Context, f *Forward) (*Forwarded, error) {
+	now := e.now()
+	if now >= f.Deadline-e.returnMs() {
+		return nil, fail(yuccahinge.CodeDeadline, yuccahinge.StepPin, "the deadline passed before the request started")
+	}
+	if !reachable(f) {
+		err := &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPin, Outcome: yuccahinge.NotRun}
+		err.Message = "too few shards have a searcher"
+		err.RetryAfterMs = goneAgainMs
+		return nil, err
+	}
+	q := &run{engine: e, job: job{
+		request: f.Request,
+		service: yuccahinge.ServiceName(f.Route.Name),
+		ticket:  f.Ticket,
+		index:   f.Index,
+		message: f.Message,
+	}}
+	q.prepareForward(f, e.returnMs())
+	if err := q.do(ctx); err != nil {
+		return nil, err
+	}
+	return q.forwarded(f)
+}
+
+// leadMs is the time before a route's objective at which an answer leaves: its way to the caller and the request's
+// way to this host both count against the objective.
+func (e *Engine) leadMs() yuccahinge.Millis {
+	if e.LeadMs > 0 {
+		return e.LeadMs
+	}
+	return defaultLead
+}
+
+// reachable reports whether enough shards have a searcher that may be asked.
+func reachable(f *Forward) bool {
+	with := 0
+	for i := range f.Index.Shards {
+		if len(f.Index.Shards[i].Searchers) > 0 {
+			with++
+		}
+	}
+	return with > 0 && float64(with) >= f.Route.LeastShare*float64(len(f.Index.Shards))
+}
+
+// prepareForward sets the decisions by the policy of the route.
+func (q *run) prepareForward(f *Forward, back yuccahinge.Millis) {
+	q.prepare(f.Deadline - back)
+	g := &q.gather
+	g.Attempts = f.Route.Attempts
+	g.AtMostOnce = f.Route.Repeat != yuccahinge.Idempotent
+	g.KeepFirst = true
+	g.Proven = true
+	g.LeastCoverage = f.Route.LeastShare
+	if f.Route.Scattered() {
+		g.EnoughCoverage = f.Route.LeastShare
+		g.SoftDeadline = f.Arrived + f.Route.ObjectiveMs - q.engine.leadMs()
+	}
+}
+
+// forwarded returns the answer once the decisions have ended.
+func (q *run) forwarded(f *Forward) (*Forwarded, error) {
+	if f.Route.Scattered() {
+		if float64(q.gather.Covered()) >= f.Route.LeastShare*float64(len(q.index.Shards)) {
+			return q.merged(f.Route.MaxRecords), nil
+		}
+		return nil, q.unanswered(f)
+	}
+	out := &Forwarded{Response: q.failure}
+	q.gather.Replies(func(_ *yuccahinge.Shard, r *yuccahinge.ShardReply) { out.Response = r.Response })
+	if out.Response == nil {
+		return nil, q.unanswered(f)
+	}
+	return out, nil
+}
+
+// merged joins the records of the shards that replied.
+func (q *run) merged(most int) *Forwarded {
+	n := q.gather.Covered()
+	out := &Forwarded{Signatures: make([]string, 0, n), Missing: len(q.index.Shards) - n}
+	parts := make([][]byte, 0, n)
+	q.gather.Replies(func(_ *yuccahinge.Shard, r *yuccahinge.ShardReply) {
+		out.Signatures = append(out.Signatures, r.Response.Signature)
+		parts = append(parts, r.Response.Body)
+	})
+	out.Records = merge.Records(most, parts)
+	return out
+}
+
+// unanswered says why there is no answer, and when to come back if the request did not run.
+func (q *run) unanswered(f *Forward) error {
+	err := &yuccahinge.Error{
+		Code:    yuccahinge.CodeUnavailable,
+		Step:    yuccahinge.StepGather,
+		Message: string(q.gather.Reason()),
+		Outcome: yuccahinge.Unknown,
+	}
+	switch {
+	case q.gather.NoneRan():
+		err.Outcome = yuccahinge.NotRun
+		err.RetryAfterMs = crowdedMs
+		if q.gather.Sent() == 0 {
+			err.RetryAfterMs = goneAgainMs
+		}
+	case q.engine.now() >= q.gather.Deadline:
+		err.Code = yuccahinge.CodeDeadline
+	}
+	if f.Route.Scattered() {
+		err.Step = yuccahinge.StepScatter
+	}
+	return err
+}
+
+// leave ends the calls of a caller that has gone.
+func (q *run) leave() {
+	if q.message == nil {
+		q.abandon()
+		return
+	}
+	if !q.gather.AtMostOnce {
+		time.AfterFunc(goneMs.Duration(), q.abandon)
+	}
+}
--- a/internal/front/query/notice.go
+++ b/internal/front/query/notice.go
@@ -24,10 +24,10 @@
 }
 
 // tellOf records and spreads what is held against a query.
-func (e *Engine) tellOf(r *yuccahinge.SearchRequest, f yuccahinge.Fingerprint, v poison.Verdict, shard yuccahinge.ShardID) {
+func (e *Engine) tellOf(j job, f yuccahinge.Fingerprint, v poison.Verdict, shard yuccahinge.ShardID) {
 	n := e.Poison.Notice(f, v, shard)
 	if v == poison.Confirmed {
-		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: r.RequestID, Service: r.Service, Detail: n.Key})
+		e.record(yuccahinge.Event{Code: event.QueryQuarantined, Request: j.request, Service: j.service, Detail: n.Key})
 	}
 	if e.Gossip != nil {
 		e.Gossip.Tell(n)
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -13,16 +13,15 @@
 // run is one search in progress. The goroutine that calls do owns it; the goroutines of its attempts only
 // call the searcher and hand the result over.
 type run struct {
-	engine   *Engine
-	request  *yuccahinge.SearchRequest
-	state    *yuccahinge.State
-	service  *yuccahinge.Service
-	mark     yuccahinge.Fingerprint
-	index    *yuccahinge.Index
-	gather   gather.Gather
-	calendar *yuccahinge.Calendar
-	results  chan ended
-	cancels  []context.CancelFunc
+	job
+
+	engine  *Engine
+	mark    yuccahinge.Fingerprint
+	gather  gather.Gather
+	results chan ended
+	cancels []context.CancelFunc
+	// failure is the last answer of a searcher that ran a message and failed.
+	failure *yuccahinge.Response
 }
 
 // ended is the end of one attempt.
@@ -34,31 +33,15 @@
 	result *yuccahinge.ShardResult
 }
 
-func (q *run) prepare(arrived, deadline yuccahinge.Millis, verdict poison.Verdict) {
+// prepareSearch sets the decisions of a search by the policy of its service.
+func (q *run) prepareSearch(s *yuccahinge.Service, arrived, deadline yuccahinge.Millis, verdict poison.Verdict) {
 	e := q.engine
-	q.index = e.index(e.now(), q.request.Service, q.service)
-	q.calendar = q.state.Calendars[q.service.Calendar]
-	q.results = make(chan ended, len(q.index.Shards)+1)
-	q.cancels = make([]context.CancelFunc, 0, len(q.index.Shards)+1)
-	q.gather = gather.Gather{
-		Request:        q.request.RequestID,
-		Service:        q.request.Service,
-		Ticket:         q.state.Ticket,
-		Index:          q.index,
-		Deadline:       deadline,
-		EnoughCoverage: q.service.EnoughCoverage,
-		MaxHits:        q.service.MaxHits,
-		Domain:         e.Domain,
-		Suspect:        verdict == poison.Suspect,
-		Picker:         e.Picker,
-		Hedger:         e.Hedger,
-		Learner:        e.Learner,
-		Observer:       e.Observer,
-		RetryBudget:    e.RetryBudget,
-		HedgeBudget:    e.HedgeBudget,
-	}
-	if q.service.Preference == yuccahinge.PreferLatency && q.service.SoftDeadlineMs > 0 {
-		q.gather.SoftDeadline = arrived + q.service.SoftDeadlineMs
+	q.prepare(deadline)
+	q.gather.EnoughCoverage = s.EnoughCoverage
+	q.gather.MaxHits = s.MaxHits
+	q.gather.Suspect = verdict == poison.Suspect
+	if s.Preference == yuccahinge.PreferLatency && s.SoftDeadlineMs > 0 {
+		q.gather.SoftDeadline = arrived + s.SoftDeadlineMs
 	}
 	if e.Poison != nil {
 		q.gather.Proven = e.Poison.Proven(q.mark)
@@ -68,8 +51,29 @@
 	}
 }
 
+// prepare sets what all jobs share.
+func (q *run) prepare(deadline yuccahinge.Millis) {
+	e := q.engine
+	q.results = make(chan ended, len(q.index.Shards)+1)
+	q.cancels = make([]context.CancelFunc, 0, len(q.index.Shards)+1)
+	q.gather = gather.Gather{
+		Request:     q.request,
+		Service:     q.service,
+		Ticket:      q.ticket,
+		Index:       q.index,
+		Deadline:    deadline,
+		Domain:      e.Domain,
+		Picker:      e.Picker,
+		Hedger:      e.Hedger,
+		Learner:     e.Learner,
+		Observer:    e.Observer,
+		RetryBudget: e.RetryBudget,
+		HedgeBudget: e.HedgeBudget,
+	}
+}
+
 // do carries out the decisions until the answer is due.
-func (q *run) do(ctx context.Context) (*yuccahinge.SearchAnswer, error) {
+func (q *run) do(ctx context.Context) error {
 	e := q.engine
 	left := q.gather.Deadline + lingerMs - e.now()
 	// Calls may outlive the query when FinishHTTP1 leaves them.
@@ -81,10 +85,7 @@
 	} else {
 		cancel()
 	}
-	if err != nil {
-		return nil, err
-	}
-	return q.answer()
+	return err
 }
 
 func (q *run) loop(ctx, calls context.Context) error {
@@ -102,7 +103,7 @@
 			q.act(calls, q.gather.Tick(e.now()))
 		case <-ctx.Done():
 			q.gather.Stop()
-			q.abandon()
+			q.leave()
 			return &yuccahinge.Error{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepGather, Message: "the caller has gone", Err: ctx.Err()}
 		}
 	}
@@ -114,19 +115,22 @@
 	e := q.engine
 	e.learn(&r, q.index.Version)
 	q.recordEnd(r)
+	if r.result.Failure != nil {
+		q.failure = r.result.Failure
+	}
 	return q.gather.Result(e.now(), r.attempt, r.result)
 }
 
 func (q *run) lost(now yuccahinge.Millis, shard yuccahinge.ShardID, id yuccahinge.SearcherID, proven bool) bool {
 	verdict, news := q.engine.Poison.Lost(now, poison.Loss{
 		Query:    q.mark,
-		Request:  q.request.RequestID,
+		Request:  q.request,
 		Shard:    shard,
 		Searcher: id,
 		Proven:   proven,
 	})
 	if news {
-		q.engine.tellOf(q.request, q.mark, verdict, shard)
+		q.engine.tellOf(q.job, q.mark, verdict, shard)
 	}
 	return verdict == poison.Confirmed
 }
@@ -147,15 +151,16 @@
 	ctx, cancel := context.WithCancel(calls)
 	q.cancels = append(q.cancels, cancel)
 	r := &yuccahinge.ShardRequest{
-		RequestID:    q.request.RequestID,
+		RequestID:    q.request,
 		Attempt:      a.Attempt,
-		Service:      q.request.Service,
+		Service:      q.service,
 		Shard:        a.Shard,
 		IndexVersion: q.index.Version,
-		Ticket:       q.state.Ticket,
-		Query:        q.request.Query,
+		Ticket:       q.ticket,
+		Query:        q.query,
 		Calendar:     q.calendar,
 		DeadlineMs:   max(0, a.Deadline-e.now()),
+		Message:      q.message,
 	}
 	q.recordSend(a)
 	go q.call(ctx, a.Attempt, a.Searcher, r)
@@ -198,28 +203,28 @@
 	}
 	answer, duplicates, err := q.gather.Answer()
 	if err != nil {
-		e.record(yuccahinge.Event{Code: event.InvariantBroken, Request: q.request.RequestID, Service: q.request.Service, Detail: err.Error()})
+		e.record(yuccahinge.Event{Code: event.InvariantBroken, Request: q.request, Service: q.service, Detail: err.Error()})
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeInternal, Step: yuccahinge.StepGather, Message: "the answer broke an invariant", Err: err}
 	}
 	if e.Poison != nil && answer.Outcome == yuccahinge.Complete {
 		e.Poison.Clear(e.now(), q.mark)
 	}
 	for _, id := range duplicates {
-		e.record(yuccahinge.Event{Code: event.DuplicateHit, Request: q.request.RequestID, Service: q.request.Service, Detail: string(id)})
+		e.record(yuccahinge.Event{Code: event.DuplicateHit, Request: q.request, Service: q.service, Detail: string(id)})
 	}
 	return answer, nil
 }
 
 func (q *run) recordSend(a *gather.Action) {
-	if q.engine.Recorder == nil {
+	if q.engine.Recorder == nil || q.engine.Sparse && a.Cause == gather.First {
 		return
 	}
 	shard := a.Shard
 	q.engine.record(yuccahinge.Event{
 		Code:     sendCode(a.Cause),
-		Request:  q.request.RequestID,
-		Ticket:   q.state.Ticket,
-		Service:  q.request.Service,
+		Request:  q.request,
+		Ticket:   q.ticket,
+		Service:  q.service,
 		Shard:    &shard,
 		Attempt:  a.Attempt,
 		Searcher: a.Searcher,
@@ -238,7 +243,7 @@
 }
 
 func (q *run) recordEnd(r ended) {
-	if q.engine.Recorder == nil {
+	if q.engine.Recorder == nil || q.engine.Sparse && r.result.Outcome == yuccahinge.Ran {
 		return
 	}
 	code := event.AttemptEnded
@@ -247,8 +252,8 @@
 	}
 	q.engine.record(yuccahinge.Event{
 		Code:     code,
-		Request:  q.request.RequestID,
-		Service:  q.request.Service,
+		Request:  q.request,
+		Service:  q.service,
 		Attempt:  r.attempt,
 		Searcher: r.searcher,
 		Detail:   string(r.result.Outcome) + " " + string(r.result.Reason),
--- /dev/null
+++ b/internal/host/config/forward.go
@@ -0,0 +1,15 @@
+package config
+
+import "github.com/yuccahinge/yuccahinge"
+
+// Forward sets the forwarding of requests to searchers that receive them as they came.
+type Forward struct {
+	ReadyAddr     string            `json:"readyAddr"`
+	Store         string            `json:"store"`
+	ExtraRatio    float64           `json:"extraRatio"`
+	ExtraSlack    float64           `json:"extraSlack"`
+	ExtraWindowMs yuccahinge.Millis `json:"extraWindowMs"`
+	ListPauseMs   yuccahinge.Millis `json:"listPauseMs"`
+	CallerWayMs   yuccahinge.Millis `json:"callerWayMs"`
+	LogLines      int               `json:"logLines"`
+}
--- a/internal/host/config/page_test.go
+++ b/internal/host/config/page_test.go
@@ -15,11 +15,11 @@
 
 const pageHead = `# Settings of yuccahinge serve
 
-A JSON file, checked against config/schema.json before anything starts. An unknown field, a wrong unit or
+A JSON file, checked against internal/host/config/schema.json before anything starts. An unknown field, a wrong unit or
 a bad address ends the program with exit code 2 and an error that names the field and its value. Durations
 are numbers of milliseconds and their names end in Ms. ` + "`yuccahinge settings check FILE`" + ` checks a file only.
 
-This page is made from the schema: ` + "`go test ./config -run TestPage -update`" + `.
+This page is made from the schema: ` + "`go test ./internal/host/config -run TestPage -update`" + `.
 
 | field | type | default | meaning |
 |---|---|---|---|
--- a/internal/host/config/settings.go
+++ b/internal/host/config/settings.go
@@ -18,5 +18,6 @@
 	Seeds           []string            `json:"seeds"`
 	Limits          Limits              `json:"limits"`
 	Drain           Drain               `json:"drain"`
+	Forward         Forward             `json:"forward"`
 	Log             Log                 `json:"log"`
 }
--- /dev/null
+++ b/internal/host/gate/leave.go
@@ -0,0 +1,74 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge/drain"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+// departure is the host's own drain as other goroutines see it.
+type departure struct {
+	leaving atomic.Bool
+}
+
+func (d *departure) begun() bool { return d.leaving.Load() }
+
+// inFlight counts requests from their arrival to the end of their answer.
+type inFlight struct {
+	n atomic.Int64
+}
+
+// wrap counts the requests of a handler, and asks callers to close their connections once the host is leaving.
+func (g *Gate) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.inFlight.n.Add(1)
+		defer g.inFlight.n.Add(-1)
+		if g.leave.begun() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// drain takes the host from serving to done and cuts nothing in flight before the deadline.
+func (g *Gate) drain(ctx context.Context) {
+	d := drain.Drain{Grace: g.Settings.Drain.GraceMs, Limit: g.Settings.Drain.DeadlineMs}
+	d.Start(g.clock.Now())
+	g.leave.leaving.Store(true)
+	g.record(event.ProcessDraining, string(drain.Announced))
+	// Peers that can't be reached must not hold up the drain.
+	go g.parts.keeper.Leave(ctx)
+	closing := false
+	for {
+		phase := d.Step(g.clock.Now(), int(g.inFlight.n.Load()))
+		if phase == drain.Done {
+			break
+		}
+		if phase == drain.Closing && !closing {
+			closing = true
+			g.record(event.ProcessDraining, string(phase))
+			// Open connections stay: a caller may have written a request on one that looks idle.
+			_ = g.ports.callers.Close()
+		}
+		if next, ok := d.Next(g.clock.Now()); ok {
+			sleep(ctx, (next - g.clock.Now()).Duration())
+		}
+	}
+	if cut := d.Cut(); cut > 0 {
+		g.record(event.DrainCut, fmt.Sprintf("%d in flight", cut))
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/host/gate/serve.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+// countEvery is the time between two counts of the entry hosts.
+const countEvery = 1 * time.Second
+
+// serve starts every part. They end with ctx.
+func (g *Gate) serve(ctx context.Context, group *errgroup.Group) {
+	p := &g.parts
+	group.Go(func() error { return p.peers.Serve(ctx, g.ports.peers) })
+	group.Go(func() error { return p.keeper.Run(ctx) })
+	group.Go(func() error { return p.feed.Run(ctx) })
+	group.Go(func() error { return g.countHosts(ctx) })
+	group.Go(func() error { return serveHTTP(ctx, p.callers, g.ports.callers) })
+	group.Go(func() error { return serveHTTP(ctx, p.ready, g.ports.ready) })
+	group.Go(func() error {
+		<-ctx.Done()
+		p.pool.Close()
+		p.conns.Close()
+		return nil
+	})
+}
+
+// serveHTTP serves until ctx ends, on the connections that are open if the listener was closed before.
+func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+	defer stop()
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		<-ctx.Done()
+		return nil
+	}
+	return err
+}
+
+// countHosts keeps the number of entry hosts that share the searchers.
+func (g *Gate) countHosts(ctx context.Context) error {
+	t := time.NewTicker(countEvery)
+	defer t.Stop()
+	ready := false
+	for {
+		g.parts.share.Observe(g.clock.Now(), len(g.parts.keeper.Roster().Members()))
+		if ok, why := g.ready(); ok != ready {
+			ready = ok
+			g.recordReady(ok, why)
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Gate) recordReady(ok bool, why string) {
+	if ok {
+		g.record(event.ProcessReady, "")
+		return
+	}
+	g.record(event.ProcessUnready, why)
+}
+
+// connections returns this host's share of a searcher's connections.
+func (g *Gate) connections(_ yuccahinge.SearcherID, s *yuccahinge.Searcher) int {
+	return g.parts.share.Limit(g.clock.Now(), s.Connections)
+}
+
+// slack returns this host's share of the extra attempts that need no request. It is none until the other hosts are
+// known, since a host that has just started forgets what it has sent.
+func (g *Gate) slack() float64 {
+	if g.clock.Now() < g.started+settleMs {
+		return 0
+	}
+	return slackShare * g.Settings.Forward.ExtraSlack / float64(g.parts.share.Hosts())
+}
--- /dev/null
+++ b/internal/host/gate/wire.go
@@ -0,0 +1,137 @@
+package gate
+
+import (
+	"hash/fnv"
+	"net/http"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+const (
+	// settleMs is the time in which a host that has started learns of the others.
+	settleMs = 5 * yuccahinge.Second
+	// slackShare is the part of the slack that hosts give out among themselves; the rest is for hosts that the others
+	// have not heard of yet.
+	slackShare = 0.75
+	// ratioShare is the part of the extra ratio that hosts use. Requests that a searcher never saw count for the hosts
+	// but perhaps not for the searchers' operators.
+	ratioShare = 0.9
+	// headerTimeout and callerIdle are above what the routing allows callers, so that no proper one is cut off.
+	headerTimeout = 30 * time.Second
+	callerIdle    = 10 * time.Minute
+	// leadWays is the ways of packets between caller and host that an answer's objective contains: to connect, to ask
+	// and to answer.
+	leadWays = 3
+	// leadMs is the time that it takes to join the parts of an answer and to write it.
+	leadMs yuccahinge.Millis = 3
+)
+
+// wire fills the parts from the settings. It opens no socket and starts no goroutine.
+func (g *Gate) wire() {
+	g.started = g.clock.Now()
+	g.wireEvents()
+	g.wirePeers()
+	g.wireState()
+	g.wireSearchers()
+	g.wireFronts()
+}
+
+func (g *Gate) wireEvents() {
+	g.events.Host = g.Settings.Host
+	g.events.Clock = g.clock
+	g.events.Stamps = &g.stamps
+	g.events.Capacity = g.Settings.Limits.Events
+	g.logs.Out = g.Log
+	g.logs.Lines = g.Settings.Forward.LogLines
+	g.logs.Start()
+	g.events.Sink = g.logs.Take
+}
+
+func (g *Gate) wirePeers() {
+	p := &g.parts
+	p.pool.Cluster = g.Settings.Cluster
+	p.pool.Self = g.self
+	p.pool.Clock = g.clock
+	p.pool.Stamps = &g.stamps
+	p.pool.MaxPerAddr = g.Settings.Limits.PeerConnections
+	p.peers.Cluster = g.Settings.Cluster
+	p.peers.Self = g.self
+	p.peers.Clock = g.clock
+	p.peers.Stamps = &g.stamps
+	p.peers.Recorder = &g.events
+}
+
+func (g *Gate) wireState() {
+	p := &g.parts
+	k := &p.keeper
+	k.Self = g.self
+	k.Seeds = g.Settings.Seeds
+	k.Source = g.Outside.Tickets
+	k.Peers = &p.pool
+	k.Clock = g.clock
+	k.Recorder = &g.events
+	k.Seed = g.seed()
+	k.PauseMs = g.Settings.Limits.PauseMs
+	k.WatchMs = watchMs
+	k.Adopted = func(s *yuccahinge.State) { p.chart.Route(s.Routing) }
+	k.Register(p.peers.Handle)
+
+	p.relay.Self = yuccahinge.HostID(g.self.ID)
+	p.relay.Peers = &p.pool
+	p.relay.Roster = k.Roster()
+	p.relay.Register(p.peers.Handle)
+
+	f := &p.feed
+	f.Publisher = g.Outside.Searchers
+	f.Changed = p.chart.Staff
+	f.Keep = p.relay.Keep
+	f.Fallback = p.relay.List
+	f.Recorder = &g.events
+	f.Clock = g.clock
+	f.PauseMs = g.Settings.Forward.ListPauseMs
+	f.Seed = g.seed()
+}
+
+// watchMs is how long one watch of the tickets waits. A connection that has gone silent is given up soon after.
+const watchMs = 2 * yuccahinge.Second
+
+func (g *Gate) wireSearchers() {
+	p := &g.parts
+	s := g.Settings.Forward
+	p.conns.Clock = g.clock
+	p.conns.ReplyBytes = g.Settings.Limits.ReplyBytes
+	p.route.Domain = g.self.Domain
+	p.route.Seed = g.seed()
+	p.quota.Ratio = ratioShare * s.ExtraRatio
+	p.quota.Slack = g.slack
+	p.quota.WindowMs = s.ExtraWindowMs
+	e := &p.engine
+	e.Caller = g.Outside.Caller(&p.conns, g.connections, g.clock)
+	e.Picker = &p.route
+	e.Observer = &p.route
+	e.Hedger = &p.hedge
+	e.Learner = &p.hedge
+	e.RetryBudget = &p.quota
+	e.HedgeBudget = &p.quota
+	e.Domain = g.self.Domain
+	e.Clock = g.clock
+	e.Recorder = &g.events
+	e.FinishHTTP1 = true
+	e.Sparse = true
+	e.LeadMs = leadWays*s.CallerWayMs + leadMs
+}
+
+func (g *Gate) wireFronts() {
+	p := &g.parts
+	p.callers = &http.Server{Handler: g.wrap(g.Outside.Front(g)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	p.ready = &http.Server{Handler: g.Outside.Ready(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+}
+
+// seed differs between hosts and between lives of one host.
+func (g *Gate) seed() uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(g.self.ID))
+	_, _ = h.Write([]byte(g.self.Incarnation))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/state/chart/build.go
@@ -0,0 +1,84 @@
+package chart
+
+import (
+	"strings"
+	"sync/atomic"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// builder makes the indexes of one plan. Routes to the same services share an index.
+type builder struct {
+	routing  *yuccahinge.Routing
+	services map[yuccahinge.ServiceName][]*yuccahinge.Listing
+	indexes  map[string]*yuccahinge.Index
+}
+
+func (b *builder) entry(r *yuccahinge.Route, turn *atomic.Uint64) *Entry {
+	e := &Entry{Route: r, turn: turn}
+	if r.Scattered() {
+		e.targets = []target{{upTo: 1, index: b.index(r.Shards)}}
+		return e
+	}
+	sum := 0.0
+	for _, w := range r.Weighted {
+		sum += w.Weight
+	}
+	upTo := 0.0
+	for _, w := range r.Weighted {
+		if w.Weight <= 0 {
+			continue
+		}
+		upTo += w.Weight / sum
+		e.targets = append(e.targets, target{upTo: upTo, index: b.index([]yuccahinge.ServiceName{w.Service})})
+	}
+	if len(e.targets) == 0 {
+		e.targets = []target{{upTo: 1, index: &yuccahinge.Index{}}}
+	}
+	return e
+}
+
+// index returns an index with one shard for each service.
+func (b *builder) index(services []yuccahinge.ServiceName) *yuccahinge.Index {
+	key := joined(services)
+	if ix := b.indexes[key]; ix != nil {
+		return ix
+	}
+	ix := &yuccahinge.Index{
+		Shards:    make([]yuccahinge.Shard, len(services)),
+		Searchers: make(map[yuccahinge.SearcherID]*yuccahinge.Searcher, 2*len(services)),
+	}
+	for i, name := range services {
+		ix.Shards[i] = yuccahinge.Shard{ID: yuccahinge.ShardID(i), Group: name, Searchers: b.replicas(ix, name)}
+	}
+	b.indexes[key] = ix
+	return ix
+}
+
+// replicas adds the searchers of a service that may get new requests to an index.
+func (b *builder) replicas(ix *yuccahinge.Index, name yuccahinge.ServiceName) []yuccahinge.SearcherID {
+	var out []yuccahinge.SearcherID
+	for _, l := range b.services[name] {
+		if l.Draining {
+			continue
+		}
+		out = append(out, l.ID)
+		ix.Searchers[l.ID] = &yuccahinge.Searcher{
+			Addr:        l.Addr,
+			Domain:      l.Domain,
+			Slots:       l.Slots,
+			Connections: b.routing.Pools[name].Connections,
+			Instance:    l.Instance,
+		}
+	}
+	return out
+}
+
+func joined(names []yuccahinge.ServiceName) string {
+	var sb strings.Builder
+	for _, n := range names {
+		sb.WriteString(string(n))
+		sb.WriteByte('\n')
+	}
+	return sb.String()
+}
--- /dev/null
+++ b/internal/state/chart/chart_test.go
@@ -0,0 +1,79 @@
+package chart
+
+import (
+	"math"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func routing(n yuccahinge.TicketNumber, routes ...*yuccahinge.Route) *yuccahinge.Routing {
+	return &yuccahinge.Routing{Ticket: n, Routes: routes, Pools: map[yuccahinge.ServiceName]yuccahinge.Pool{"a": {Connections: 26}}}
+}
+
+func route(name, prefix string, services ...yuccahinge.Weight) *yuccahinge.Route {
+	return &yuccahinge.Route{Name: yuccahinge.RouteName(name), Host: "H.example", Prefix: prefix, Weighted: services}
+}
+
+func staff(ids ...string) map[yuccahinge.ServiceName][]*yuccahinge.Listing {
+	out := make(map[yuccahinge.ServiceName][]*yuccahinge.Listing)
+	for _, id := range ids {
+		out["a"] = append(out["a"], &yuccahinge.Listing{ID: yuccahinge.SearcherID(id), Service: "a", Draining: id == "leaving"})
+	}
+	return out
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	var c Chart
+	c.Staff(staff("x"))
+	if c.Plan() != nil {
+		t.Fatal("a plan without a routing")
+	}
+	c.Route(routing(1, route("short", "/p/"), route("long", "/p/q/")))
+	for path, want := range map[string]yuccahinge.RouteName{"/p/x": "short", "/p/q/x": "long"} {
+		if e := c.Plan().Match(Host("h.example:80"), path); e == nil || e.Route.Name != want {
+			t.Errorf("%s leads to %+v", path, e)
+		}
+	}
+	if c.Plan().Match("other", "/p/") != nil || c.Plan().Match("h.example", "/") != nil {
+		t.Error("a request without a route has one")
+	}
+}
+
+func TestRoutingNeverStepsBack(t *testing.T) {
+	var c Chart
+	c.Staff(staff("x"))
+	c.Route(routing(7))
+	c.Route(routing(3))
+	if n := c.Plan().Routing.Ticket; n != 7 {
+		t.Fatalf("ticket %d is in force", n)
+	}
+}
+
+func TestDrainingSearchersGetNothing(t *testing.T) {
+	var c Chart
+	c.Route(routing(1, route("r", "/", yuccahinge.Weight{Service: "a", Weight: 1})))
+	c.Staff(staff("x", "leaving"))
+	ix := c.Plan().Match("h.example", "/").Pick()
+	if got := ix.Shards[0].Searchers; len(got) != 1 || got[0] != "x" || ix.Searchers["x"].Connections != 26 {
+		t.Fatalf("%+v", ix)
+	}
+}
+
+func TestWeightsHoldInShortRuns(t *testing.T) {
+	var c Chart
+	c.Route(routing(1, route("r", "/", yuccahinge.Weight{Service: "a", Weight: 7}, yuccahinge.Weight{Service: "b", Weight: 3})))
+	c.Staff(staff("x"))
+	e := c.Plan().Match("h.example", "/")
+	for range 20 {
+		n := 0
+		for range 50 {
+			if e.Pick().Shards[0].Group == "a" {
+				n++
+			}
+		}
+		if math.Abs(float64(n)/50-0.7) > 0.05 {
+			t.Fatalf("%d of 50 requests went to 7 in 10", n)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/chart/plan.go
@@ -0,0 +1,57 @@
+package chart
+
+import (
+	"math"
+	"strings"
+	"sync/atomic"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// Plan is the routing of one ticket with the searchers of one moment. A request is served from one plan.
+type Plan struct {
+	Routing *yuccahinge.Routing
+	// Indexes are the indexes of all routes, each once.
+	Indexes []*yuccahinge.Index
+
+	hosts map[string][]*Entry // the longest prefix first
+}
+
+// Entry is a route and the searchers that it leads to.
+type Entry struct {
+	Route *yuccahinge.Route
+
+	targets []target
+	turn    *atomic.Uint64
+}
+
+// target is a part of a route's requests.
+type target struct {
+	upTo  float64 // the end of the part in the range from 0 to 1
+	index *yuccahinge.Index
+}
+
+// Match returns the entry with the longest prefix of the path, or nil. The host is one that Host has returned.
+func (p *Plan) Match(host, path string) *Entry {
+	for _, e := range p.hosts[host] {
+		if strings.HasPrefix(path, e.Route.Prefix) {
+			return e
+		}
+	}
+	return nil
+}
+
+// Pick returns the index for one request. Weighted services have their share of any run of requests: multiples of the
+// golden ratio, taken modulo one, fill the range evenly.
+func (e *Entry) Pick() *yuccahinge.Index {
+	if len(e.targets) == 1 {
+		return e.targets[0].index
+	}
+	_, at := math.Modf(float64(e.turn.Add(1)%(1<<30)) * math.Phi)
+	for i := range e.targets {
+		if at < e.targets[i].upTo {
+			return e.targets[i].index
+		}
+	}
+	return e.targets[len(e.targets)-1].index
+}
--- a/internal/state/keeper/exchange.go
+++ b/internal/state/keeper/exchange.go
@@ -332,6 +332,9 @@
 		k.record(yuccahinge.Event{Code: event.StateAdopted, Ticket: d.Number, Peer: string(d.Peer)})
 	}
 	k.state.Store(d.State)
+	if k.Adopted != nil {
+		k.Adopted(d.State)
+	}
 	k.history.add(d.Number, d.Digest)
 	k.record(yuccahinge.Event{Code: event.TicketInForce, Ticket: d.Number, Peer: string(d.Peer), Detail: string(d.Digest)})
 }
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -42,6 +42,8 @@
 	Recorder yuccahinge.Recorder
 	// Seed feeds the choice of peers and the jitter.
 	Seed uint64
+	// Adopted is told of each state that is put in force; nil for nobody. It must not call the keeper.
+	Adopted func(s *yuccahinge.State)
 
 	// PeriodMs is the time between two exchanges with a peer.
 	PeriodMs yuccahinge.Millis
--- a/internal/trial/bench/scene/variant.go
+++ b/internal/trial/bench/scene/variant.go
@@ -37,10 +37,10 @@
 type none struct{}
 
 // Earn implements yuccahinge.Budget.
-func (none) Earn(int) {}
+func (none) Earn(yuccahinge.Millis, yuccahinge.ServiceName, int) {}
 
 // Take implements yuccahinge.Budget.
-func (none) Take() bool { return false }
+func (none) Take(yuccahinge.Millis, yuccahinge.ServiceName) bool { return false }
 
 // VariantNames returns the names that Variant takes.
 func VariantNames() []string {
--- /dev/null
+++ b/internal/view/logs/logs_test.go
@@ -0,0 +1,60 @@
+package logs
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+// written returns the lines that a log of 10 lines a second writes for the events.
+func written(t *testing.T, events ...yuccahinge.Event) []string {
+	t.Helper()
+	var out bytes.Buffer
+	l := &Logs{Out: &out, Lines: 10}
+	l.Start()
+	for _, e := range events {
+		l.Take(e)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return strings.Split(strings.TrimSpace(out.String()), "\n")
+}
+
+func TestLineHoldsWhatTheEventSays(t *testing.T) {
+	lines := written(t, yuccahinge.Event{Code: event.SearchRefused, Name: "searchRefused", Host: "e1", Request: "r", Detail: "why", TookMs: 3})
+	var got map[string]any
+	if err := json.Unmarshal([]byte(lines[0]), &got); err != nil {
+		t.Fatal(err)
+	}
+	for key, want := range map[string]any{"msg": "searchRefused", "level": "WARN", "host": "e1", "request": "r", "detail": "why", "tookMs": 3.0} {
+		if got[key] != want {
+			t.Errorf("%s is %v, want %v", key, got[key], want)
+		}
+	}
+}
+
+func TestVolumeIsBoundedAndFailuresAreKept(t *testing.T) {
+	var events []yuccahinge.Event
+	for range 500 {
+		events = append(events, yuccahinge.Event{Code: event.SearchAnswered, Name: "good"})
+	}
+	events = append(events, yuccahinge.Event{Code: event.SearchRefused, Name: "refused"})
+	for range 300 {
+		events = append(events, yuccahinge.Event{Code: event.SearchAnswered, Name: "partial", Detail: "partial"})
+	}
+	lines := written(t, events...)
+	if len(lines) != 11 || !strings.Contains(strings.Join(lines, ""), `"refused"`) {
+		t.Fatalf("%d lines: %s", len(lines), lines)
+	}
+	if last := lines[len(lines)-1]; !strings.Contains(last, "linesDropped") {
+		t.Errorf("the last line is %s, want the number of lines left out", last)
+	}
+}
--- /dev/null
+++ b/merge/records_test.go
@@ -0,0 +1,55 @@
+package merge
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestRecordsAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "n")
+		var parts [][]byte
+		counts := map[string]int{}
+		for range rapid.IntRange(0, 4).Draw(t, "parts") {
+			var part []byte
+			for range rapid.IntRange(0, 4).Draw(t, "records") {
+				r := bytes.Repeat([]byte{byte(rapid.IntRange(0, 3).Draw(t, "first"))}, RecordBytes)
+				part = append(part, r...)
+				counts[string(r)]++
+			}
+			parts = append(parts, append(part, make([]byte, rapid.IntRange(0, RecordBytes-1).Draw(t, "rest"))...))
+		}
+		got := Records(n, parts)
+		var want []byte
+		for first := 3; first >= 0; first-- {
+			r := bytes.Repeat([]byte{byte(first)}, RecordBytes)
+			for range counts[string(r)] {
+				if len(want) < n*RecordBytes {
+					want = append(want, r...)
+				}
+			}
+		}
+		if !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
+
+func BenchmarkRecords(b *testing.B) {
+	part := make([]byte, 25*RecordBytes)
+	for i := range part {
+		part[i] = byte(i * 37)
+	}
+	parts := make([][]byte, 90)
+	for i := range parts {
+		parts[i] = part
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if len(Records(20, parts)) != 20*RecordBytes {
+			b.Fatal("short")
+		}
+	}
+}
--- a/policy.go
+++ b/policy.go
@@ -18,12 +18,13 @@
 	Delay(now Millis, service ServiceName, shard ShardID) (Millis, bool)
 }
 
-// Budget grants extra attempts as a share of recent first attempts.
+// Budget grants extra attempts as a share of recent first attempts. Group names the replicas concerned and is
+// empty where one budget serves a whole index.
 type Budget interface {
 	// Earn counts n first attempts.
-	Earn(n int)
-	// Take reports whether one extra attempt may start.
-	Take() bool
+	Earn(now Millis, group ServiceName, n int)
+	// Take reports whether one extra attempt may start, and charges it.
+	Take(now Millis, group ServiceName) bool
 }
 
 // Limiter admits requests to a service.
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,85 @@
+// Package quota provides a budget of extra attempts that holds in every sliding window, for each group of replicas.
+package quota
+
+import (
+	"sync"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+const (
+	// defaultWindow is the span over which extra attempts are compared with requests.
+	defaultWindow = 10 * yuccahinge.Second
+	// slices is the number of counters in a window. One more is kept, since the oldest is cut by the window's edge.
+	slices = 20
+)
+
+// Quota grants extra attempts to a group as long as those of the last window are no more than Ratio times its
+// requests in that window, and Slack. It implements yuccahinge.Budget. Set the fields before the first use; the zero
+// value grants nothing.
+type Quota struct {
+	// Ratio is the number of extra attempts that one request earns.
+	Ratio float64
+	// Slack returns this host's share of the extra attempts that need no request.
+	Slack func() float64
+	// WindowMs is the length of the window.
+	WindowMs yuccahinge.Millis
+
+	groups sync.Map // of yuccahinge.ServiceName to *group
+}
+
+var _ yuccahinge.Budget = (*Quota)(nil)
+
+// Earn counts n requests to the group.
+func (q *Quota) Earn(now yuccahinge.Millis, name yuccahinge.ServiceName, n int) {
+	g := q.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.at(now, q.slice()).requests += n
+}
+
+// Take reports whether the group may get one extra attempt, and counts it.
+func (q *Quota) Take(now yuccahinge.Millis, name yuccahinge.ServiceName) bool {
+	g := q.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	current := g.at(now, q.slice())
+	requests, extra := g.sums()
+	if float64(extra+1) > q.Ratio*float64(requests)+q.slack() {
+		return false
+	}
+	current.extra++
+	return true
+}
+
+// Left returns the extra attempts that the group may get now.
+func (q *Quota) Left(now yuccahinge.Millis, name yuccahinge.ServiceName) float64 {
+	g := q.group(name)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.at(now, q.slice())
+	requests, extra := g.sums()
+	return q.Ratio*float64(requests) + q.slack() - float64(extra)
+}
+
+func (q *Quota) group(name yuccahinge.ServiceName) *group {
+	if v, ok := q.groups.Load(name); ok {
+		return v.(*group)
+	}
+	v, _ := q.groups.LoadOrStore(name, new(group))
+	return v.(*group)
+}
+
+func (q *Quota) slack() float64 {
+	if q.Slack == nil {
+		return 0
+	}
+	return q.Slack()
+}
+
+func (q *Quota) slice() yuccahinge.Millis {
+	if q.WindowMs > 0 {
+		return q.WindowMs / slices
+	}
+	return defaultWindow / slices
+}
--- a/reason.go
+++ b/reason.go
@@ -16,4 +16,8 @@
 	ReasonPoisoned    Reason = "poisoned"
 	ReasonLost        Reason = "connectionLost"
 	ReasonCanceled    Reason = "canceled"
+	// ReasonFailed means that the searcher ran the request and answered with a failure.
+	ReasonFailed Reason = "failed"
+	// ReasonCapacity means that every searcher is full or gone.
+	ReasonCapacity Reason = "capacity"
 )
--- a/shardcall.go
+++ b/shardcall.go
@@ -13,6 +13,8 @@
 	Query        json.RawMessage `json:"query"`
 	Calendar     *Calendar       `json:"calendar,omitempty"`
 	DeadlineMs   Millis          `json:"deadlineMs"`
+	// Message is forwarded in place of Query.
+	Message *Message `json:"-"`
 }
 
 // ShardReply is a searcher's reply. Request, attempt, shard and version echo the ShardRequest.
@@ -26,6 +28,8 @@
 	Reason       Reason       `json:"reason,omitempty"`
 	Hits         []Hit        `json:"hits,omitempty"`
 	Load         LoadReport   `json:"load"`
+	// Response is the reply to a Message.
+	Response *Response `json:"-"`
 }
 
 // LoadReport is what a searcher says of itself, with each reply and at GET /v1/load.
@@ -37,6 +41,9 @@
 	Queued      int            `json:"queued"`
 	Draining    bool           `json:"draining,omitempty"`
 	Versions    []IndexVersion `json:"versions,omitempty"`
+	// SpeedPercent is how long work takes on the searcher's machine at this moment, in percent of the usual time;
+	// zero says nothing.
+	SpeedPercent int `json:"speedPercent,omitempty"`
 }
 
 // ShardResult is how an attempt ended. Outcome is Ran only with a valid reply.
@@ -46,6 +53,8 @@
 	Reply   *ShardReply
 	// Latency is the time from the send to the end of the attempt.
 	Latency Millis
+	// Failure is what the searcher answered when it ran a Message and failed.
+	Failure *Response
 	Err     error
 }
 
--- a/share/share.go
+++ b/share/share.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// Hosts returns the number of entry hosts that are counted, at least one.
+func (s *Share) Hosts() int { return max(1, int(s.hosts.Load())) }
+
 // Limit returns the connections that this host may hold at a searcher that accepts total connections.
 // A new host takes only what the others leave free, until they have made room.
 func (s *Share) Limit(now yuccahinge.Millis, total int) int {
--- a/source.go
+++ b/source.go
@@ -1,6 +1,10 @@
 package yuccahinge
 
-import "context"
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Source reads the configuration service and the membership list. Every call counts against the
 // platform's budget; a waiting Head counts once.
@@ -14,3 +18,14 @@
 	// Members returns the membership list.
 	Members(ctx context.Context) ([]Member, error)
 }
+
+// ErrHistoryGone reports that changes after a revision are no longer available.
+var ErrHistoryGone = errors.New("the changes after this revision are gone")
+
+// Publisher reads a part of what the platform publishes.
+type Publisher interface {
+	// List returns all keys.
+	List(ctx context.Context) (*Batch, error)
+	// Changes returns the changes after a revision and waits for the first. ErrHistoryGone asks for a List.
+	Changes(ctx context.Context, after Revision, wait Millis) (*Batch, error)
+}
--- a/state.go
+++ b/state.go
@@ -7,4 +7,6 @@
 	Digest    Digest                     `json:"digest"`
 	Services  map[ServiceName]*Service   `json:"services"`
 	Calendars map[CalendarName]*Calendar `json:"calendars"`
+	// Routing is where the requests go that searchers receive as they came; nil for none.
+	Routing *Routing `json:"routing,omitempty"`
 }
--- a/ticket.go
+++ b/ticket.go
@@ -7,4 +7,6 @@
 	Note      string                     `json:"note,omitempty"`
 	Services  map[ServiceName]*Service   `json:"services,omitempty"`
 	Calendars map[CalendarName]*Calendar `json:"calendars,omitempty"`
+	// Routing replaces the whole routing.
+	Routing *Routing `json:"routing,omitempty"`
 }
--- a/ticket/check.go
+++ b/ticket/check.go
@@ -40,7 +40,7 @@
 			return err
 		}
 	}
-	return nil
+	return checkRouting(t.Routing)
 }
 
 func checkTicketService(name string, s *yuccahinge.Service) error {
--- a/ticket/fold.go
+++ b/ticket/fold.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -27,6 +28,7 @@
 		Ticket:    t.Number,
 		Services:  services,
 		Calendars: foldCalendars(s, t),
+		Routing:   cmp.Or(t.Routing, s.Routing),
 	}
 	if err := checkCalendarNames(next); err != nil {
 		return nil, err
--- a/ticket/state.go
+++ b/ticket/state.go
@@ -11,7 +11,7 @@
 // DigestOf returns the digest of a state: the hash of its JSON form without the digest itself.
 // encoding/json sorts the keys of maps, so equal states have equal digests.
 func DigestOf(s *yuccahinge.State) yuccahinge.Digest {
-	bare := yuccahinge.State{Ticket: s.Ticket, Services: s.Services, Calendars: s.Calendars}
+	bare := yuccahinge.State{Ticket: s.Ticket, Services: s.Services, Calendars: s.Calendars, Routing: s.Routing}
 	if bare.Services == nil {
 		bare.Services = map[yuccahinge.ServiceName]*yuccahinge.Service{}
 	}
@@ -45,6 +45,9 @@
 	if err := checkCalendarNames(s); err != nil {
 		return err
 	}
+	if err := checkRouting(s.Routing); err != nil {
+		return err
+	}
 	if digest := DigestOf(s); digest != s.Digest {
 		return invalid("digest", "%q is not that of the state, %q", s.Digest, digest)
 	}
