Count each shard once in a budget that retries and hedges share

Cause: quota.Quota is both RetryBudget and HedgeBudget of a forwarded request, and gather told both of each first attempt, so that every request earned twice. Ruled out: the number of hosts (7 throughout), resends in conns, the window's length. Test: TestOneBudgetForBothCountsEachShardOnce failed before.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -210,6 +210,21 @@
 	}
 }
 
+// tally is a Budget that counts what it is told.
+type tally struct{ requests int }
+
+func (b *tally) Earn(_ yuccahinge.Millis, _ yuccahinge.ServiceName, n int) { b.requests += n }
+func (b *tally) Take(yuccahinge.Millis, yuccahinge.ServiceName) bool       { return true }
+
+func TestOneBudgetForBothCountsEachShardOnce(t *testing.T) {
+	b := &tally{}
+	g := &Gather{Request: "r", Index: index(5, 2), Deadline: 100, RetryBudget: b, HedgeBudget: b}
+	g.Start(0)
+	if b.requests != 5 {
+		t.Fatalf("%d requests were counted for 5 shards", b.requests)
+	}
+}
+
 func TestCoveredIsWrittenAsRanges(t *testing.T) {
 	g := &Gather{Request: "r", Index: index(20, 1), Deadline: 100}
 	for _, a := range slices.Clone(g.Start(0)) {
--- a/gather/send.go
+++ b/gather/send.go
@@ -183,7 +183,7 @@
 	if g.RetryBudget != nil {
 		g.RetryBudget.Earn(now, s.spec.Group, 1)
 	}
-	if g.HedgeBudget != nil {
+	if g.HedgeBudget != nil && g.HedgeBudget != g.RetryBudget {
 		g.HedgeBudget.Earn(now, s.spec.Group, 1)
 	}
 	if g.Hedger == nil || g.Suspect || g.AtMostOnce {
