Send callers elsewhere when a host is cut off from too many searchers

Forward refuses at once, before anything is sent, when too few shards are within reach; the host says it is not ready and asks callers to reconnect.

--- a/event/searcher.go
+++ b/event/searcher.go
@@ -6,9 +6,13 @@
 const (
 	SearcherDraining yuccahinge.EventCode = 600
 	SearchersChanged yuccahinge.EventCode = 601
+	DomainCut        yuccahinge.EventCode = 602
+	DomainBack       yuccahinge.EventCode = 603
 )
 
 var searcherNames = map[yuccahinge.EventCode]string{
 	SearcherDraining: "searcherDraining",
 	SearchersChanged: "searchersChanged",
+	DomainCut:        "domainCut",
+	DomainBack:       "domainBack",
 }
--- a/index.go
+++ b/index.go
@@ -43,4 +43,6 @@
 	Protocol  Protocol `json:"protocol,omitempty"`
 	// Instance is the name that a request must give, so that no other searcher at the address runs it.
 	Instance string `json:"-"`
+	// HealthPath is where the searcher tells whether it is healthy.
+	HealthPath string `json:"-"`
 }
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -48,6 +48,8 @@
 	Leave *leave.Leave
 	// Gossip spreads what Poison and Leave find.
 	Gossip yuccahinge.Gossip
+	// Reach returns the number of shards of an index that this host can reach now; nil trusts all that have a searcher.
+	Reach func(now yuccahinge.Millis, ix *yuccahinge.Index) int
 	// Domain is this host's failure domain.
 	Domain   yuccahinge.DomainID
 	Clock    yuccahinge.Clock
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -17,8 +17,9 @@
 	defaultLead yuccahinge.Millis = 8
 	// crowdedMs is when a caller may come back after every searcher that could serve it was full.
 	crowdedMs yuccahinge.Millis = 60
-	// goneAgainMs is when a caller may come back while no searcher can be reached.
-	goneAgainMs yuccahinge.Millis = 400
+	// goneAgainMs is when a caller may come back while too few searchers can be reached from here. The balancer takes
+	// it to another host.
+	goneAgainMs yuccahinge.Millis = 10
 )
 
 // Forward is a caller's request that searchers receive as it came.
@@ -68,9 +69,9 @@
 	if now >= f.Deadline-e.returnMs() {
 		return nil, fail(yuccahinge.CodeDeadline, yuccahinge.StepPin, "the deadline passed before the request started")
 	}
-	if !reachable(f) {
+	if !e.Serves(now, f.Index, f.Route.LeastShare) {
 		err := &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPin, Outcome: yuccahinge.NotRun}
-		err.Message = "too few shards have a searcher"
+		err.Message = "too few shards have a searcher within reach"
 		err.RetryAfterMs = goneAgainMs
 		return nil, err
 	}
@@ -97,15 +98,24 @@
 	return defaultLead
 }
 
-// reachable reports whether enough shards have a searcher that may be asked.
-func reachable(f *Forward) bool {
-	with := 0
-	for i := range f.Index.Shards {
-		if len(f.Index.Shards[i].Searchers) > 0 {
-			with++
+// Serves reports whether enough shards have a searcher within reach for an answer.
+func (e *Engine) Serves(now yuccahinge.Millis, ix *yuccahinge.Index, leastShare float64) bool {
+	n := staffed(ix)
+	if e.Reach != nil {
+		n = e.Reach(now, ix)
+	}
+	return n > 0 && float64(n) >= leastShare*float64(len(ix.Shards))
+}
+
+// staffed returns the number of shards that have a searcher.
+func staffed(ix *yuccahinge.Index) int {
+	n := 0
+	for i := range ix.Shards {
+		if len(ix.Shards[i].Searchers) > 0 {
+			n++
 		}
 	}
-	return with > 0 && float64(with) >= f.Route.LeastShare*float64(len(f.Index.Shards))
+	return n
 }
 
 // prepareForward sets the decisions by the policy of the route.
--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -27,13 +28,19 @@
 	Tickets   yuccahinge.Source
 	Searchers yuccahinge.Publisher
 	// Caller returns the client of searchers on connections that the gate bounds.
-	Caller func(c *conns.Conns, limit func(yuccahinge.SearcherID, *yuccahinge.Searcher) int, now yuccahinge.Clock) yuccahinge.ShardCaller
+	Caller func(c *conns.Conns, limit func(yuccahinge.SearcherID, *yuccahinge.Searcher) int, now yuccahinge.Clock) SearcherClient
 	// Front returns the handler of callers.
 	Front func(g *Gate) http.Handler
 	// Ready returns the handler of the balancer's questions.
 	Ready func(ready func() (bool, string)) http.Handler
 }
 
+// SearcherClient sends attempts and asks searchers how they are.
+type SearcherClient interface {
+	yuccahinge.ShardCaller
+	prober
+}
+
 // Gate is an entry host. Set the exported fields, call Listen, then Run.
 type Gate struct {
 	Settings *config.Settings
@@ -52,6 +59,9 @@
 	leave    departure
 	inFlight inFlight
 	started  yuccahinge.Millis
+	prober   prober
+	// unserving says that callers are better served by hosts of other failure domains.
+	unserving atomic.Bool
 }
 
 // Listen binds the ports. On an error nothing stays bound, and the error names the setting.
@@ -125,5 +135,8 @@
 	if g.Plan() == nil {
 		return false, "the routing or the searchers are not known yet"
 	}
+	if g.unserving.Load() {
+		return false, "too many searchers are out of reach"
+	}
 	return g.parts.keeper.Ready()
 }
--- a/internal/host/gate/leave.go
+++ b/internal/host/gate/leave.go
@@ -28,7 +28,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.inFlight.n.Add(1)
 		defer g.inFlight.n.Add(-1)
-		if g.leave.begun() {
+		if g.leave.begun() || g.unserving.Load() {
 			w.Header().Set("Connection", "close")
 		}
 		next.ServeHTTP(w, r)
--- /dev/null
+++ b/internal/host/gate/probe.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"context"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+const (
+	// probeEvery is the time between two looks at what is cut off or kept out.
+	probeEvery = 250 * time.Millisecond
+	// probeMs bounds a probe, which takes a few milliseconds while the path works.
+	probeMs = 400 * yuccahinge.Millis(1)
+	// probesAtOnce bounds the probes of one look.
+	probesAtOnce = 6
+)
+
+// prober asks searchers how they are.
+type prober interface {
+	Load(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher) (*yuccahinge.LoadReport, error)
+}
+
+// watchReach follows which failure domains can be reached, and probes the searchers of those that can't be.
+func (g *Gate) watchReach(ctx context.Context) error {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	cut := make(map[yuccahinge.DomainID]bool)
+	for turn := 0; ; turn++ {
+		now := g.clock.Now()
+		next := make(map[yuccahinge.DomainID]bool)
+		for _, d := range g.parts.route.Cut(now) {
+			next[d] = true
+		}
+		g.recordCuts(cut, next)
+		cut = next
+		g.unserving.Store(!g.serves(now))
+		g.probe(ctx, now, cut, turn)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Gate) recordCuts(was, is map[yuccahinge.DomainID]bool) {
+	for d := range is {
+		if !was[d] {
+			g.record(event.DomainCut, string(d))
+		}
+	}
+	for d := range was {
+		if !is[d] {
+			g.record(event.DomainBack, string(d))
+		}
+	}
+}
+
+// serves reports whether no route lacks its answer because failure domains are cut off from this host. What no host
+// can reach is no reason to send callers elsewhere.
+func (g *Gate) serves(now yuccahinge.Millis) bool {
+	plan := g.Plan()
+	if plan == nil || len(g.parts.route.Cut(now)) == 0 {
+		return true
+	}
+	for _, n := range plan.Needs {
+		if !g.parts.engine.Serves(now, n.Index, n.LeastShare) {
+			return false
+		}
+	}
+	return true
+}
+
+// probe asks a few searchers that get no calls.
+func (g *Gate) probe(ctx context.Context, now yuccahinge.Millis, cut map[yuccahinge.DomainID]bool, turn int) {
+	plan := g.Plan()
+	if plan == nil {
+		return
+	}
+	asked := make(map[yuccahinge.DomainID]bool)
+	left := probesAtOnce
+	for _, n := range plan.Needs {
+		for i := range n.Index.Shards {
+			shard := &n.Index.Shards[(i+turn)%len(n.Index.Shards)]
+			for _, id := range shard.Searchers {
+				s := n.Index.Searchers[id]
+				switch {
+				case left == 0:
+					return
+				case cut[s.Domain] && !asked[s.Domain]:
+					asked[s.Domain] = true
+				case !cut[s.Domain] && g.parts.route.Ejected(now, id):
+				default:
+					continue
+				}
+				left--
+				go g.probeOne(ctx, id, s)
+			}
+		}
+	}
+}
+
+func (g *Gate) probeOne(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher) {
+	if s.HealthPath == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeMs.Duration())
+	defer cancel()
+	report, err := g.prober.Load(ctx, id, s)
+	if err != nil {
+		return // it stays out; the next look asks again
+	}
+	g.parts.route.Report(g.clock.Now(), id, report)
+}
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -23,6 +23,7 @@
 	group.Go(func() error { return p.keeper.Run(ctx) })
 	group.Go(func() error { return p.feed.Run(ctx) })
 	group.Go(func() error { return g.countHosts(ctx) })
+	group.Go(func() error { return g.watchReach(ctx) })
 	group.Go(func() error { return serveHTTP(ctx, p.callers, g.ports.callers) })
 	group.Go(func() error { return serveHTTP(ctx, p.ready, g.ports.ready) })
 	group.Go(func() error {
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -20,6 +20,9 @@
 	// headerTimeout and callerIdle are above what the routing allows callers, so that no proper one is cut off.
 	headerTimeout = 30 * time.Second
 	callerIdle    = 10 * time.Minute
+	// maxEjectMs bounds how long a searcher is kept out: probes find out sooner whether it answers, and one that is
+	// out for longer than its crash sends callers to the other replica for nothing.
+	maxEjectMs = 4 * yuccahinge.Second
 	// leadWays is the ways of packets between caller and host that an answer's objective contains: to connect, to ask
 	// and to answer.
 	leadWays = 3
@@ -103,11 +106,16 @@
 	p.conns.ReplyBytes = g.Settings.Limits.ReplyBytes
 	p.route.Domain = g.self.Domain
 	p.route.Seed = g.seed()
+	p.route.WatchDomains = true
+	p.route.MaxEjectMs = maxEjectMs
 	p.quota.Ratio = ratioShare * s.ExtraRatio
 	p.quota.Slack = g.slack
 	p.quota.WindowMs = s.ExtraWindowMs
 	e := &p.engine
-	e.Caller = g.Outside.Caller(&p.conns, g.connections, g.clock)
+	client := g.Outside.Caller(&p.conns, g.connections, g.clock)
+	g.prober = client
+	e.Caller = client
+	e.Reach = p.route.Reachable
 	e.Picker = &p.route
 	e.Observer = &p.route
 	e.Hedger = &p.hedge
--- a/internal/state/chart/chart.go
+++ b/internal/state/chart/chart.go
@@ -46,7 +46,7 @@
 	if c.routing == nil || c.services == nil {
 		return
 	}
-	b := builder{routing: c.routing, services: c.services, indexes: make(map[string]*yuccahinge.Index)}
+	b := builder{routing: c.routing, services: c.services, needs: make(map[string]*Need)}
 	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry)}
 	for _, r := range c.routing.Routes {
 		host := Host(r.Host)
@@ -55,8 +55,8 @@
 	for _, entries := range p.hosts {
 		slices.SortStableFunc(entries, func(a, b *Entry) int { return len(b.Route.Prefix) - len(a.Route.Prefix) })
 	}
-	for _, ix := range b.indexes {
-		p.Indexes = append(p.Indexes, ix)
+	for _, n := range b.needs {
+		p.Needs = append(p.Needs, *n)
 	}
 	c.plan.Store(p)
 }
--- a/internal/state/chart/plan.go
+++ b/internal/state/chart/plan.go
@@ -11,12 +11,18 @@
 // Plan is the routing of one ticket with the searchers of one moment. A request is served from one plan.
 type Plan struct {
 	Routing *yuccahinge.Routing
-	// Indexes are the indexes of all routes, each once.
-	Indexes []*yuccahinge.Index
+	// Needs are the indexes of all routes, each once.
+	Needs []Need
 
 	hosts map[string][]*Entry // the longest prefix first
 }
 
+// Need is an index and the share of its shards without which no route to it has an answer.
+type Need struct {
+	Index      *yuccahinge.Index
+	LeastShare float64
+}
+
 // Entry is a route and the searchers that it leads to.
 type Entry struct {
 	Route *yuccahinge.Route
--- a/route/route.go
+++ b/route/route.go
@@ -24,7 +24,14 @@
 	// Nil trusts every searcher.
 	Holds func(id yuccahinge.SearcherID, v yuccahinge.IndexVersion) (holds, known bool)
 
+	// WatchDomains keeps calls away from failure domains that seem to be cut off. Report must then be told of
+	// probes of their searchers, since nothing else brings a domain back.
+	WatchDomains bool
+	// MaxEjectMs bounds the time for which a searcher is kept out; zero takes 16 s.
+	MaxEjectMs yuccahinge.Millis
+
 	searchers sync.Map // of yuccahinge.SearcherID to *stat
+	domains   sync.Map // of yuccahinge.DomainID to *domain
 	draws     atomic.Uint64
 }
 
@@ -47,7 +54,7 @@
 
 // Ended learns from an attempt that ended.
 func (r *Route) Ended(now yuccahinge.Millis, id yuccahinge.SearcherID, res *yuccahinge.ShardResult) {
-	r.stat(id).ended(now, res)
+	r.stat(id).ended(now, res, r.maxEject())
 }
 
 // Report takes a searcher's own word outside a reply.
@@ -98,6 +105,9 @@
 		if !r.holds(id, ix.Version) {
 			continue
 		}
+		if r.WatchDomains && r.watched(st, s.Domain).isCut(now) {
+			continue
+		}
 		c := candidate{id: id, wait: st.wait(now, s), local: s.Domain == r.Domain, ejected: st.ejected(now), stat: st}
 		if !c.local {
 			c.wait += float64(r.cross())
@@ -180,6 +190,13 @@
 	return v.(*stat)
 }
 
+func (r *Route) maxEject() yuccahinge.Millis {
+	if r.MaxEjectMs > 0 {
+		return r.MaxEjectMs
+	}
+	return defaultMaxEject
+}
+
 func (r *Route) cross() yuccahinge.Millis {
 	if r.CrossMs > 0 {
 		return r.CrossMs
--- a/route/stat.go
+++ b/route/stat.go
@@ -27,9 +27,9 @@
 	contradiction = 2.0
 	// failuresToEject is the number of failures in a row that eject a searcher.
 	failuresToEject = 3
-	// ejectMs is the first ejection's length; it doubles up to maxEjectMs.
-	ejectMs    = 1 * yuccahinge.Second
-	maxEjectMs = 16 * yuccahinge.Second
+	// ejectMs is the first ejection's length; it doubles up to defaultMaxEject.
+	ejectMs         = 1 * yuccahinge.Second
+	defaultMaxEject = 16 * yuccahinge.Second
 	// silentMs and silentCalls, a multiple of the expected latency, are the silence that ejects a searcher.
 	silentMs    = 500.0
 	silentCalls = 8.0
@@ -49,6 +49,7 @@
 	inFlight atomic.Int64
 	draining atomic.Bool
 	life     atomic.Pointer[yuccahinge.Incarnation]
+	domain   atomic.Pointer[domain] // nil until the searcher was first weighed
 
 	latency number // estimate of the time of a call in milliseconds
 	base    number // lowest estimate, the time of a call without a queue
@@ -68,6 +69,9 @@
 
 func (s *stat) started(now yuccahinge.Millis) {
 	s.inFlight.Add(1)
+	if d := s.domain.Load(); d != nil {
+		d.started(now)
+	}
 	if s.asked.load() == 0 {
 		s.asked.store(float64(now))
 	}
@@ -76,8 +80,11 @@
 	}
 }
 
-func (s *stat) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+func (s *stat) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult, maxEject yuccahinge.Millis) {
 	s.inFlight.Add(-1)
+	if d := s.domain.Load(); d != nil {
+		d.ended(now, r)
+	}
 	if r.Reply != nil {
 		s.report(now, &r.Reply.Load)
 		s.replied(now)
@@ -87,11 +94,11 @@
 		s.succeed(now, float64(r.Latency))
 	case r.Reply != nil:
 	case r.Reason == yuccahinge.ReasonCanceled:
-		s.givenUp(now, r)
+		s.givenUp(now, r, maxEject)
 	case r.Outcome == yuccahinge.NotRun && r.Reason == yuccahinge.ReasonShed:
 		// This host's own queue was full, which says nothing of the searcher.
 	default:
-		s.fail(now, r)
+		s.fail(now, r, maxEject)
 	}
 }
 
@@ -133,7 +140,7 @@
 
 // givenUp learns from a call that was canceled before it ended. One that was late by then counts as a
 // failure too: a frozen searcher shows itself by nothing else when every call to it is hedged.
-func (s *stat) givenUp(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+func (s *stat) givenUp(now yuccahinge.Millis, r *yuccahinge.ShardResult, maxEject yuccahinge.Millis) {
 	old := s.latency.load()
 	took := float64(r.Latency)
 	if old == 0 || took <= old {
@@ -141,7 +148,7 @@
 	}
 	s.sample(now, old+weight*(min(took, old*clip)-old))
 	if took > old*lateFactor {
-		s.fail(now, r)
+		s.fail(now, r, maxEject)
 	}
 }
 
@@ -156,7 +163,7 @@
 }
 
 // fail counts a failure and ejects the searcher when too many came in a row.
-func (s *stat) fail(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+func (s *stat) fail(now yuccahinge.Millis, r *yuccahinge.ShardResult, maxEject yuccahinge.Millis) {
 	if r.Reason == yuccahinge.ReasonTimeout && float64(r.Latency) < silentFactor*s.expected() {
 		return // the deadline was too short to tell anything of the searcher
 	}
@@ -167,7 +174,7 @@
 		return
 	}
 	n := s.ejections.Add(1)
-	span := min(ejectMs*yuccahinge.Millis(math.Exp2(float64(n-1))), maxEjectMs)
+	span := min(ejectMs*yuccahinge.Millis(math.Exp2(float64(n-1))), maxEject)
 	s.ejectUntil.store(float64(now + span))
 	s.coldAt.store(float64(now + span))
 }
@@ -193,6 +200,9 @@
 		return
 	}
 	s.replied(now)
+	if d := s.domain.Load(); d != nil {
+		d.replied(now)
+	}
 	if old := s.life.Load(); old == nil || *old != l.Incarnation {
 		if old != nil {
 			s.coldAt.store(float64(now))
--- a/routing.go
+++ b/routing.go
@@ -53,6 +53,8 @@
 type Pool struct {
 	// Connections bounds the connections that one searcher accepts from all hosts together.
 	Connections int `json:"connections"`
+	// HealthPath is where a searcher tells whether it is healthy.
+	HealthPath string `json:"healthPath,omitempty"`
 }
 
 // Intake bounds what callers may send.
