Take the list of searchers from other hosts, and judge reach by demand

Hosts that could not read the store got the repartitioned configuration from their peers but not the searchers it names, and refused 678 requests from 6 to 13 s. And one route that nobody asks for, whose searchers all stood in the cut zone, took the hosts of the healthy zones out of the rotation too, so that the cut zone's callers had nowhere to go.

The feed now merges another host's list by revision while the store is away, and a host leaves the rotation only when it can't answer half of what it was lately asked for (chart.Demand).

--- a/census/census.go
+++ b/census/census.go
@@ -38,23 +38,37 @@
 // Away notes that the platform can't be read.
 func (c *Census) Away() { c.away = true }
 
-// Apply takes changes that were read at an instant and reports whether the searchers have changed.
+// Apply takes changes that were read from the platform at an instant and reports whether the searchers have changed.
 func (c *Census) Apply(now yuccahinge.Millis, b *yuccahinge.Batch) bool {
-	if c.entries == nil {
-		c.entries = make(map[string]*entry)
-	}
 	if c.away {
 		c.away = false
 		c.graceEnd = now + c.grace()
 	}
+	return c.take(now, b)
+}
+
+// Merge takes another host's whole list and reports whether the searchers have changed. An older one changes nothing.
+func (c *Census) Merge(now yuccahinge.Millis, b *yuccahinge.Batch) bool {
+	if b.Revision < c.revision {
+		return false
+	}
+	// The other host has kept lapsed entries for as long as they count.
+	c.graceEnd = 0
+	return c.take(now, b)
+}
+
+func (c *Census) take(now yuccahinge.Millis, b *yuccahinge.Batch) bool {
+	if c.entries == nil {
+		c.entries = make(map[string]*entry)
+	}
 	changed := false
 	for i := range b.Changes {
 		if c.apply(now, &b.Changes[i]) {
 			changed = true
 		}
 	}
-	if b.Whole && c.dropOthers(now, b) {
-		changed = true
+	if b.Whole {
+		c.dropOthers(now, b)
 	}
 	c.revision = max(c.revision, b.Revision)
 	return c.Expire(now) || changed
@@ -66,24 +80,24 @@
 		return false
 	}
 	if change.Listing == nil {
-		return c.remove(now, old, change.Revision)
+		c.remove(now, old, change.Revision)
+		return false
 	}
 	c.entries[change.Key] = &entry{revision: change.Revision, listing: change.Listing}
 	return old == nil || old.goneAt > 0 && old.goneAt <= now || !same(old.listing, change.Listing)
 }
 
 // remove ends an entry, after an outage only when its grace has passed.
-func (c *Census) remove(now yuccahinge.Millis, old *entry, r yuccahinge.Revision) bool {
+func (c *Census) remove(now yuccahinge.Millis, old *entry, r yuccahinge.Revision) {
 	if old == nil || old.goneAt > 0 {
-		return false
+		return
 	}
 	old.revision = r
 	old.goneAt = max(now, c.graceEnd)
-	return false
 }
 
 // dropOthers ends the entries that a whole list lacks.
-func (c *Census) dropOthers(now yuccahinge.Millis, b *yuccahinge.Batch) bool {
+func (c *Census) dropOthers(now yuccahinge.Millis, b *yuccahinge.Batch) {
 	listed := make(map[string]bool, len(b.Changes))
 	for i := range b.Changes {
 		listed[b.Changes[i].Key] = true
@@ -93,7 +107,6 @@
 			c.remove(now, e, b.Revision)
 		}
 	}
-	return false
 }
 
 // Expire drops the entries whose grace has passed and reports whether the searchers have changed.
@@ -129,10 +142,11 @@
 	return out
 }
 
-// Batch returns the searchers as a whole list.
+// Batch returns the searchers as a whole list in the order of their keys.
 func (c *Census) Batch() *yuccahinge.Batch {
 	out := &yuccahinge.Batch{Whole: true, Revision: c.revision, Changes: make([]yuccahinge.Change, 0, len(c.entries))}
-	for key, e := range c.entries {
+	for _, key := range slices.Sorted(maps.Keys(c.entries)) {
+		e := c.entries[key]
 		out.Changes = append(out.Changes, yuccahinge.Change{Key: key, Revision: e.revision, Listing: e.listing})
 	}
 	return out
--- a/census/census_test.go
+++ b/census/census_test.go
@@ -61,3 +61,18 @@
 		t.Fatalf("%v after the grace", c.Services())
 	}
 }
+
+// TestListOfAnotherHostStandsInForThePlatform merges what a host knows that can still read the platform.
+func TestListOfAnotherHostStandsInForThePlatform(t *testing.T) {
+	var own, other Census
+	own.Apply(0, batch(1, listed("a", 1, false), listed("b", 1, false)))
+	other.Apply(0, batch(1, listed("a", 1, false), listed("b", 1, false)))
+	own.Away()
+	other.Apply(500, batch(7, listed("c", 6, false), yuccahinge.Change{Key: "a", Revision: 7}))
+	if !own.Merge(600, other.Batch()) || own.Len() != 2 || own.Services()["s"][1].ID != "c" {
+		t.Fatalf("%v after the merge", own.Services())
+	}
+	if own.Merge(700, batch(3)) || own.Len() != 2 {
+		t.Fatal("an older list changed something")
+	}
+}
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -217,6 +217,15 @@
 	return ""
 }
 
+// Lacks calls f for each shard that has no reply, with the searchers that were asked.
+func (g *Gather) Lacks(f func(spec *yuccahinge.Shard, why yuccahinge.Reason, tried []yuccahinge.SearcherID)) {
+	for i := range g.shards {
+		if s := &g.shards[i]; s.reply == nil {
+			f(s.spec, s.reason, s.tried[:s.sent])
+		}
+	}
+}
+
 // NoneRan reports whether every attempt that ended did so with proof that it did not run, and none is open.
 func (g *Gather) NoneRan() bool {
 	for i := range g.attempts {
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/merge"
 )
 
@@ -48,23 +47,22 @@
 // Forward sends a request to the searchers of its route. An error is a *yuccahinge.Error; its Outcome is NotRun
 // only if no searcher ran the request and none will.
 func (e *Engine) Forward(ctx context.Context, f *Forward) (*Forwarded, error) {
-	answer, err := e.forward(ctx, f)
-	v := yuccahinge.Event{Code: event.SearchAnswered, Request: f.Request, Service: yuccahinge.ServiceName(f.Route.Name), Ticket: f.Ticket}
-	switch {
-	case err != nil:
-		v.Code = event.SearchRefused
-		v.Detail = err.Error()
-	case answer.Missing > 0:
-		v.Detail = string(yuccahinge.Partial)
-	}
+	q := &run{engine: e, job: job{
+		request: f.Request,
+		service: yuccahinge.ServiceName(f.Route.Name),
+		ticket:  f.Ticket,
+		index:   f.Index,
+		message: f.Message,
+	}}
+	answer, err := q.forward(ctx, f)
 	if e.Recorder != nil {
-		v.TookMs = e.now() - f.Arrived
-		e.record(v)
+		e.record(q.story(f, answer, err))
 	}
 	return answer, err
 }
 
-func (e *Engine) forward(ctx context.Context, f *Forward) (*Forwarded, error) {
+func (q *run) forward(ctx context.Context, f *Forward) (*Forwarded, error) {
+	e := q.engine
 	now := e.now()
 	if now >= f.Deadline-e.returnMs() {
 		return nil, fail(yuccahinge.CodeDeadline, yuccahinge.StepPin, "the deadline passed before the request started")
@@ -75,13 +73,6 @@
 		err.RetryAfterMs = goneAgainMs
 		return nil, err
 	}
-	q := &run{engine: e, job: job{
-		request: f.Request,
-		service: yuccahinge.ServiceName(f.Route.Name),
-		ticket:  f.Ticket,
-		index:   f.Index,
-		message: f.Message,
-	}}
 	q.prepareForward(f, e.returnMs())
 	if err := q.do(ctx); err != nil {
 		return nil, err
--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -62,6 +62,7 @@
 	prober   prober
 	// unserving says that callers are better served by hosts of other failure domains.
 	unserving atomic.Bool
+	asked     chart.Demand // of the goroutine that watches the reach
 }
 
 // Listen binds the ports. On an error nothing stays bound, and the error names the setting.
--- a/internal/host/gate/probe.go
+++ b/internal/host/gate/probe.go
@@ -6,6 +6,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/state/chart"
 )
 
 const (
@@ -15,6 +16,8 @@
 	probeMs = 400 * yuccahinge.Millis(1)
 	// probesAtOnce bounds the probes of one look.
 	probesAtOnce = 6
+	// servedShare is the share of the requests that a host must be able to answer to stay in the balancer's rotation.
+	servedShare = 0.5
 )
 
 // prober asks searchers how they are.
@@ -58,15 +61,24 @@
 	}
 }
 
-// serves reports whether no route lacks its answer because failure domains are cut off from this host. What no host
-// can reach is no reason to send callers elsewhere.
+// serves reports whether this host can answer most of what it is asked for. What no host can reach is no reason to
+// send callers elsewhere, so that it always does while no failure domain is cut off.
 func (g *Gate) serves(now yuccahinge.Millis) bool {
 	plan := g.Plan()
-	if plan == nil || len(g.parts.route.Cut(now)) == 0 {
+	if plan == nil {
+		return true
+	}
+	if len(g.parts.route.Cut(now)) == 0 {
+		g.asked.Observe(now, plan.Entries)
 		return true
 	}
-	for _, n := range plan.Needs {
-		if !g.parts.engine.Serves(now, n.Index, n.LeastShare) {
+	return g.asked.Share(plan.Entries, func(e *chart.Entry) bool { return g.answers(now, e) }) >= servedShare
+}
+
+// answers reports whether enough searchers of a route are within reach.
+func (g *Gate) answers(now yuccahinge.Millis, e *chart.Entry) bool {
+	for _, ix := range e.Targets() {
+		if !g.parts.engine.Serves(now, ix, e.Route.LeastShare) {
 			return false
 		}
 	}
@@ -81,11 +93,11 @@
 	}
 	asked := make(map[yuccahinge.DomainID]bool)
 	left := probesAtOnce
-	for _, n := range plan.Needs {
-		for i := range n.Index.Shards {
-			shard := &n.Index.Shards[(i+turn)%len(n.Index.Shards)]
+	for _, ix := range plan.Indexes {
+		for i := range ix.Shards {
+			shard := &ix.Shards[(i+turn)%len(ix.Shards)]
 			for _, id := range shard.Searchers {
-				s := n.Index.Searchers[id]
+				s := ix.Searchers[id]
 				switch {
 				case left == 0:
 					return
--- a/internal/state/chart/build.go
+++ b/internal/state/chart/build.go
@@ -11,13 +11,13 @@
 type builder struct {
 	routing  *yuccahinge.Routing
 	services map[yuccahinge.ServiceName][]*yuccahinge.Listing
-	needs    map[string]*Need // by the joined names of the services
+	indexes  map[string]*yuccahinge.Index // by the joined names of the services
 }
 
 func (b *builder) entry(r *yuccahinge.Route, turn *atomic.Uint64) *Entry {
 	e := &Entry{Route: r, turn: turn}
 	if r.Scattered() {
-		e.targets = []target{{upTo: 1, index: b.index(r.LeastShare, r.Shards)}}
+		e.targets = []target{{upTo: 1, index: b.index(r.Shards)}}
 		return e
 	}
 	sum := 0.0
@@ -30,7 +30,7 @@
 			continue
 		}
 		upTo += w.Weight / sum
-		e.targets = append(e.targets, target{upTo: upTo, index: b.index(0, []yuccahinge.ServiceName{w.Service})})
+		e.targets = append(e.targets, target{upTo: upTo, index: b.index([]yuccahinge.ServiceName{w.Service})})
 	}
 	if len(e.targets) == 0 {
 		e.targets = []target{{upTo: 1, index: &yuccahinge.Index{}}}
@@ -39,11 +39,10 @@
 }
 
 // index returns an index with one shard for each service.
-func (b *builder) index(leastShare float64, services []yuccahinge.ServiceName) *yuccahinge.Index {
+func (b *builder) index(services []yuccahinge.ServiceName) *yuccahinge.Index {
 	key := joined(services)
-	if n := b.needs[key]; n != nil {
-		n.LeastShare = min(n.LeastShare, leastShare)
-		return n.Index
+	if ix := b.indexes[key]; ix != nil {
+		return ix
 	}
 	ix := &yuccahinge.Index{
 		Shards:    make([]yuccahinge.Shard, len(services)),
@@ -52,7 +51,7 @@
 	for i, name := range services {
 		ix.Shards[i] = yuccahinge.Shard{ID: yuccahinge.ShardID(i), Group: name, Searchers: b.replicas(ix, name)}
 	}
-	b.needs[key] = &Need{Index: ix, LeastShare: leastShare}
+	b.indexes[key] = ix
 	return ix
 }
 
--- a/internal/state/chart/chart.go
+++ b/internal/state/chart/chart.go
@@ -46,17 +46,19 @@
 	if c.routing == nil || c.services == nil {
 		return
 	}
-	b := builder{routing: c.routing, services: c.services, needs: make(map[string]*Need)}
+	b := builder{routing: c.routing, services: c.services, indexes: make(map[string]*yuccahinge.Index)}
 	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry)}
 	for _, r := range c.routing.Routes {
 		host := Host(r.Host)
-		p.hosts[host] = append(p.hosts[host], b.entry(r, c.turn(r.Name)))
+		e := b.entry(r, c.turn(r.Name))
+		p.Entries = append(p.Entries, e)
+		p.hosts[host] = append(p.hosts[host], e)
 	}
 	for _, entries := range p.hosts {
 		slices.SortStableFunc(entries, func(a, b *Entry) int { return len(b.Route.Prefix) - len(a.Route.Prefix) })
 	}
-	for _, n := range b.needs {
-		p.Needs = append(p.Needs, *n)
+	for _, ix := range b.indexes {
+		p.Indexes = append(p.Indexes, ix)
 	}
 	c.plan.Store(p)
 }
--- /dev/null
+++ b/internal/state/chart/demand.go
@@ -0,0 +1,55 @@
+package chart
+
+import (
+	"math"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// demandHalfMs is the age at which a request has lost half its weight in a Demand.
+const demandHalfMs = 5 * yuccahinge.Second
+
+// Demand follows which routes the requests of a host ask for. The zero value is ready to use. It is not safe for
+// concurrent use.
+type Demand struct {
+	at     yuccahinge.Millis
+	routes map[yuccahinge.RouteName]weighed
+}
+
+// weighed is the requests of one route, old ones with less weight.
+type weighed struct {
+	picks  uint64
+	weight float64
+}
+
+// Observe takes the requests that the routes have had since the last call.
+func (d *Demand) Observe(now yuccahinge.Millis, entries []*Entry) {
+	decay := math.Exp2(-float64((now - d.at) / demandHalfMs))
+	next := make(map[yuccahinge.RouteName]weighed, len(entries))
+	for _, e := range entries {
+		old := d.routes[e.Route.Name]
+		picks := e.Picks()
+		next[e.Route.Name] = weighed{picks: picks, weight: old.weight*decay + float64(picks-old.picks)}
+	}
+	d.at = now
+	d.routes = next
+}
+
+// Share returns the share of the requests that go to routes which pass a test, or one if there were none.
+func (d *Demand) Share(entries []*Entry, passes func(e *Entry) bool) float64 {
+	all, good := 0.0, 0.0
+	for _, e := range entries {
+		w := d.routes[e.Route.Name].weight
+		if w == 0 {
+			continue
+		}
+		all += w
+		if passes(e) {
+			good += w
+		}
+	}
+	if all == 0 {
+		return 1
+	}
+	return good / all
+}
--- /dev/null
+++ b/internal/state/chart/demand_test.go
@@ -0,0 +1,35 @@
+package chart
+
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func TestDemandFollowsWhatIsAskedFor(t *testing.T) {
+	var c Chart
+	c.Route(routing(1, route("busy", "/b/", yuccahinge.Weight{Service: "a", Weight: 1}), route("idle", "/i/", yuccahinge.Weight{Service: "b", Weight: 1})))
+	c.Staff(staff("x"))
+	var d Demand
+	only := func(name yuccahinge.RouteName) float64 {
+		return d.Share(c.Plan().Entries, func(e *Entry) bool { return e.Route.Name == name })
+	}
+	if only("idle") != 1 {
+		t.Fatal("without requests every route counts as served")
+	}
+	for range 9 {
+		c.Plan().Match("h.example", "/b/x").Pick()
+	}
+	c.Plan().Match("h.example", "/i/x").Pick()
+	d.Observe(1000, c.Plan().Entries)
+	if got := only("busy"); got != 0.9 {
+		t.Fatalf("the busy route has %g of the requests", got)
+	}
+	for range 10 {
+		c.Plan().Match("h.example", "/i/x").Pick()
+	}
+	d.Observe(1000+4*demandHalfMs, c.Plan().Entries)
+	if got := only("busy"); got > 0.1 {
+		t.Fatalf("a route that was busy long ago still has %g of the requests", got)
+	}
+}
--- a/internal/state/chart/plan.go
+++ b/internal/state/chart/plan.go
@@ -11,18 +11,14 @@
 // Plan is the routing of one ticket with the searchers of one moment. A request is served from one plan.
 type Plan struct {
 	Routing *yuccahinge.Routing
-	// Needs are the indexes of all routes, each once.
-	Needs []Need
+	// Indexes are the indexes of all routes, each once.
+	Indexes []*yuccahinge.Index
+	// Entries are the routes.
+	Entries []*Entry
 
 	hosts map[string][]*Entry // the longest prefix first
 }
 
-// Need is an index and the share of its shards without which no route to it has an answer.
-type Need struct {
-	Index      *yuccahinge.Index
-	LeastShare float64
-}
-
 // Entry is a route and the searchers that it leads to.
 type Entry struct {
 	Route *yuccahinge.Route
@@ -47,13 +43,26 @@
 	return nil
 }
 
+// Picks returns the number of requests that the route has had, over all plans.
+func (e *Entry) Picks() uint64 { return e.turn.Load() }
+
+// Targets returns the indexes that the route leads to.
+func (e *Entry) Targets() []*yuccahinge.Index {
+	out := make([]*yuccahinge.Index, 0, len(e.targets))
+	for i := range e.targets {
+		out = append(out, e.targets[i].index)
+	}
+	return out
+}
+
 // Pick returns the index for one request. Weighted services have their share of any run of requests: multiples of the
 // golden ratio, taken modulo one, fill the range evenly.
 func (e *Entry) Pick() *yuccahinge.Index {
+	turn := e.turn.Add(1)
 	if len(e.targets) == 1 {
 		return e.targets[0].index
 	}
-	_, at := math.Modf(float64(e.turn.Add(1)%(1<<30)) * math.Phi)
+	_, at := math.Modf(float64(turn%(1<<30)) * math.Phi)
 	for i := range e.targets {
 		if at < e.targets[i].upTo {
 			return e.targets[i].index
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -22,7 +22,7 @@
 	waitMs = 2 * yuccahinge.Second
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff = yuccahinge.Millis(100)
-	maxBackoff   = 1 * yuccahinge.Second
+	maxBackoff   = 500 * yuccahinge.Millis(1)
 )
 
 // Feed reads the list and its changes. Set Publisher, Changed and Clock before Run.
@@ -32,7 +32,7 @@
 	Changed func(services map[yuccahinge.ServiceName][]*yuccahinge.Listing)
 	// Keep is given the whole list whenever it has changed; nil for nobody.
 	Keep func(list *yuccahinge.Batch)
-	// Fallback returns a list from elsewhere while the platform can't be read and nothing is known; nil for none.
+	// Fallback returns another host's list, which is taken while the platform can't be read; nil for none.
 	Fallback func(ctx context.Context) (*yuccahinge.Batch, error)
 	Recorder yuccahinge.Recorder
 	Clock    yuccahinge.Clock
@@ -46,6 +46,8 @@
 	backoff yuccahinge.Millis
 	listed  bool
 	down    bool
+	// alone says that neither the platform nor another host gave a list at the last try.
+	alone bool
 }
 
 // Run keeps the list up to date until the context ends.
@@ -83,20 +85,23 @@
 	return f.Publisher.Changes(ctx, f.census.Revision(), waitMs)
 }
 
-// fallBack takes a list from elsewhere when this host knows no searchers.
+// fallBack takes another host's list.
 func (f *Feed) fallBack(ctx context.Context) {
-	if f.Fallback == nil || f.census.Len() > 0 {
+	if f.Fallback == nil {
 		return
 	}
 	batch, err := f.Fallback(ctx)
 	if err != nil {
-		f.record(event.SpreadPullFailed, "searchers: "+err.Error())
+		if ctx.Err() == nil && !f.alone {
+			f.alone = true
+			f.record(event.SpreadPullFailed, "searchers: "+err.Error())
+		}
 		return
 	}
-	if f.census.Apply(f.Clock.Now(), batch) {
+	f.alone = false
+	if f.census.Merge(f.Clock.Now(), batch) {
 		f.publish()
 	}
-	f.census.Away()
 }
 
 func (f *Feed) apply(now yuccahinge.Millis, b *yuccahinge.Batch) {
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -31,6 +31,7 @@
 	Roster yuccahinge.Roster
 
 	list atomic.Pointer[yuccahinge.Batch]
+	turn atomic.Uint32 // rounds, each of which begins with other hosts
 }
 
 // Keep takes the list that this host has.
@@ -46,13 +47,16 @@
 	})
 }
 
-// List returns the newest list that a few peers have. It is not whole: it may lack what the platform has by now.
+// List returns the newest list that a few peers have.
 func (r *Relay) List(ctx context.Context) (*yuccahinge.Batch, error) {
 	ctx, cancel := context.WithTimeout(ctx, callMs.Duration())
 	defer cancel()
 	answers := make(chan *yuccahinge.Batch, askPeers)
 	asked := 0
-	for _, m := range r.Roster.Members() {
+	members := r.Roster.Members()
+	first := int(r.turn.Add(1)) * askPeers
+	for i := range members {
+		m := members[(first+i)%len(members)]
 		if m.ID == string(r.Self) || m.PeerAddr == "" || asked == askPeers {
 			continue
 		}
@@ -68,7 +72,6 @@
 	if best == nil {
 		return nil, errNoList
 	}
-	best.Whole = false
 	return best, nil
 }
 
