Let few hosts read the list of searchers, and measure the way to callers

Two hosts, or one in sixteen, now read it; the others wait for changes at one of them and read for themselves for 5 s when that fails.

The lead of an answer was a constant for callers 3 ms away; it now follows from the round trip that the kernel measured, four ways on a new connection and two on a kept one.

--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -66,8 +66,8 @@
 	FinishHTTP1 bool
 	// Sparse leaves events of attempts out that went as they should.
 	Sparse bool
-	// LeadMs is the time before its objective at which the answer to a Forward leaves.
-	LeadMs yuccahinge.Millis
+	// CallerWayMs is the time that a packet takes to a caller whose connection does not tell.
+	CallerWayMs yuccahinge.Millis
 	// ReturnMs is kept back from the deadline for the way of the answer.
 	ReturnMs yuccahinge.Millis
 	// MaxDeadlineMs is the longest deadline that a caller may name.
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -12,8 +12,8 @@
 	// goneMs is how long a call may go on after its caller has left. Most end by themselves in this time and keep
 	// their connections; a longer one wastes a searcher's slot.
 	goneMs yuccahinge.Millis = 250
-	// defaultLead fits callers a few milliseconds away.
-	defaultLead yuccahinge.Millis = 8
+	// sendMs is the time that it takes to join the parts of an answer and to write it, on a slow host.
+	sendMs yuccahinge.Millis = 4
 	// crowdedMs is when a caller may come back after every searcher that could serve it was full.
 	crowdedMs yuccahinge.Millis = 60
 	// goneAgainMs is when a caller may come back while too few searchers can be reached from here. The balancer takes
@@ -30,6 +30,10 @@
 	Index   *yuccahinge.Index
 	Message *yuccahinge.Message
 	Arrived yuccahinge.Millis
+	// CallerWayMs is the time that a packet takes to the caller, one way; zero if it is not known.
+	CallerWayMs yuccahinge.Millis
+	// NewConnection says that the caller has connected for this request.
+	NewConnection bool
 	// Deadline is when the caller stops waiting.
 	Deadline yuccahinge.Millis
 }
@@ -80,13 +84,18 @@
 	return q.forwarded(f)
 }
 
-// leadMs is the time before a route's objective at which an answer leaves: its way to the caller and the request's
-// way to this host both count against the objective.
-func (e *Engine) leadMs() yuccahinge.Millis {
-	if e.LeadMs > 0 {
-		return e.LeadMs
+// lead returns the time before a route's objective at which an answer leaves. The objective counts from when the
+// caller began to connect: the ways of the connection's first packets, of the request and of the answer.
+func (e *Engine) lead(f *Forward) yuccahinge.Millis {
+	way := f.CallerWayMs
+	if way <= 0 {
+		way = e.CallerWayMs
 	}
-	return defaultLead
+	ways := yuccahinge.Millis(2)
+	if f.NewConnection {
+		ways = 4
+	}
+	return ways*way + sendMs
 }
 
 // Serves reports whether enough shards have a searcher within reach for an answer.
@@ -120,7 +129,7 @@
 	g.LeastCoverage = f.Route.LeastShare
 	if f.Route.Scattered() {
 		g.EnoughCoverage = f.Route.LeastShare
-		g.SoftDeadline = f.Arrived + f.Route.ObjectiveMs - q.engine.leadMs()
+		g.SoftDeadline = f.Arrived + f.Route.ObjectiveMs - q.engine.lead(f)
 	}
 }
 
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/front/remote"
 )
 
 const (
@@ -23,11 +24,6 @@
 	// maxEjectMs bounds how long a searcher is kept out: probes find out sooner whether it answers, and one that is
 	// out for longer than its crash sends callers to the other replica for nothing.
 	maxEjectMs = 4 * yuccahinge.Second
-	// leadWays is the ways of packets between caller and host that an answer's objective contains: to connect, to ask
-	// and to answer.
-	leadWays = 3
-	// leadMs is the time that it takes to join the parts of an answer and to write it.
-	leadMs yuccahinge.Millis = 3
 )
 
 // wire fills the parts from the settings. It opens no socket and starts no goroutine.
@@ -83,13 +79,13 @@
 	p.relay.Self = yuccahinge.HostID(g.self.ID)
 	p.relay.Peers = &p.pool
 	p.relay.Roster = k.Roster()
+	p.relay.Clock = g.clock
 	p.relay.Register(p.peers.Handle)
 
 	f := &p.feed
 	f.Publisher = g.Outside.Searchers
 	f.Changed = p.chart.Staff
-	f.Keep = p.relay.Keep
-	f.Fallback = p.relay.List
+	f.Peers = &p.relay
 	f.Recorder = &g.events
 	f.Clock = g.clock
 	f.PauseMs = g.Settings.Forward.ListPauseMs
@@ -97,7 +93,7 @@
 }
 
 // watchMs is how long one watch of the tickets waits. A connection that has gone silent is given up soon after.
-const watchMs = 2 * yuccahinge.Second
+const watchMs = 4 * yuccahinge.Second
 
 func (g *Gate) wireSearchers() {
 	p := &g.parts
@@ -127,12 +123,12 @@
 	e.Recorder = &g.events
 	e.FinishHTTP1 = true
 	e.Sparse = true
-	e.LeadMs = leadWays*s.CallerWayMs + leadMs
+	e.CallerWayMs = s.CallerWayMs
 }
 
 func (g *Gate) wireFronts() {
 	p := &g.parts
-	p.callers = &http.Server{Handler: g.wrap(g.Outside.Front(g)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	p.callers = &http.Server{ConnContext: remote.Context, Handler: g.wrap(g.Outside.Front(g)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	p.ready = &http.Server{Handler: g.Outside.Ready(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 }
 
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -17,26 +17,43 @@
 const (
 	// defaultPause is the time between two watches. Heartbeats end each watch at once, so that a shorter pause costs
 	// calls; a longer one delays the word that a searcher is leaving.
-	defaultPause = yuccahinge.Millis(400)
-	// waitMs is how long one watch waits for a change.
+	defaultPause yuccahinge.Millis = 400
+	// waitMs is how long one watch of the platform waits for a change.
 	waitMs = 2 * yuccahinge.Second
+	// peerWaitMs is how long a reader may let this host wait for a change. It bounds what a reader that stands still
+	// costs.
+	peerWaitMs = 1 * yuccahinge.Second
+	// peerPauseMs is the time between two calls to a reader, which answers at once when something has changed.
+	peerPauseMs yuccahinge.Millis = 100
+	// directMs is how long a host reads the platform itself after its readers have failed it.
+	directMs = 5 * yuccahinge.Second
 	// firstBackoff and maxBackoff bound the wait after a failed read.
-	firstBackoff = yuccahinge.Millis(100)
-	maxBackoff   = 500 * yuccahinge.Millis(1)
+	firstBackoff yuccahinge.Millis = 100
+	maxBackoff   yuccahinge.Millis = 500
 )
 
-// Feed reads the list and its changes. Set Publisher, Changed and Clock before Run.
+// Peers is the list of searchers as other hosts have it.
+type Peers interface {
+	yuccahinge.Publisher
+	// Reads reports whether this host is to read the platform itself.
+	Reads() bool
+	// Any returns what some hosts know after a revision, though they may not be able to read the platform.
+	Any(ctx context.Context, after yuccahinge.Revision) (*yuccahinge.Batch, error)
+	// Keep takes what this host knows, and Do keeps that from being read while it changes.
+	Keep(revision yuccahinge.Revision, changed, fresh bool, since func(yuccahinge.Revision) *yuccahinge.Batch)
+	Do(f func())
+}
+
+// Feed reads the list and its changes. Set Publisher, Peers, Changed and Clock before Run.
 type Feed struct {
+	// Publisher is the platform.
 	Publisher yuccahinge.Publisher
+	Peers     Peers
 	// Changed is called with the searchers of each service whenever they have changed.
-	Changed func(services map[yuccahinge.ServiceName][]*yuccahinge.Listing)
-	// Keep is given the whole list whenever it has changed; nil for nobody.
-	Keep func(list *yuccahinge.Batch)
-	// Fallback returns another host's list, which is taken while the platform can't be read; nil for none.
-	Fallback func(ctx context.Context) (*yuccahinge.Batch, error)
+	Changed  func(services map[yuccahinge.ServiceName][]*yuccahinge.Listing)
 	Recorder yuccahinge.Recorder
 	Clock    yuccahinge.Clock
-	// PauseMs is the time between two watches.
+	// PauseMs is the time between two watches of the platform.
 	PauseMs yuccahinge.Millis
 	// Seed feeds the jitter.
 	Seed uint64
@@ -44,10 +61,13 @@
 	census  census.Census
 	rand    *rand.Rand
 	backoff yuccahinge.Millis
-	listed  bool
-	down    bool
+	// listed says that the whole list was read, so that changes suffice.
+	listed bool
+	down   bool
 	// alone says that neither the platform nor another host gave a list at the last try.
-	alone bool
+	alone       bool
+	directUntil yuccahinge.Millis
+	follows     bool
 }
 
 // Run keeps the list up to date until the context ends.
@@ -55,83 +75,118 @@
 	f.rand = rand.New(rand.NewPCG(f.Seed, 0))
 	f.backoff = firstBackoff
 	for ctx.Err() == nil {
-		batch, err := f.next(ctx)
-		if ctx.Err() != nil {
-			break
-		}
-		now := f.Clock.Now()
-		switch {
-		case err == nil:
-			f.regained(batch)
-			f.apply(now, batch)
-			f.sleep(ctx, f.pause())
-		case errors.Is(err, yuccahinge.ErrHistoryGone):
-			f.listed = false
-		default:
-			f.lost(now, err)
-			f.fallBack(ctx)
-			f.sleep(ctx, f.backoff)
-			f.backoff = min(2*f.backoff, maxBackoff)
+		f.follow(f.listed && f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
+		if f.follows {
+			f.step(ctx, f.readPeers)
+		} else {
+			f.step(ctx, f.readPlatform)
 		}
 	}
 	return nil
 }
 
-// next reads the whole list, or the changes once that is known.
-func (f *Feed) next(ctx context.Context) (*yuccahinge.Batch, error) {
-	if !f.listed {
-		return f.Publisher.List(ctx)
+// step makes one read and waits for the next.
+func (f *Feed) step(ctx context.Context, read func(context.Context) yuccahinge.Millis) {
+	pause := read(ctx)
+	if at, ok := f.census.Next(); ok {
+		pause = min(pause, max(0, at-f.Clock.Now()))
 	}
-	return f.Publisher.Changes(ctx, f.census.Revision(), waitMs)
+	f.sleep(ctx, pause)
 }
 
-// fallBack takes another host's list.
-func (f *Feed) fallBack(ctx context.Context) {
-	if f.Fallback == nil {
+// follow notes whether other hosts read the platform for this one.
+func (f *Feed) follow(follows bool) {
+	if follows == f.follows {
+		return
+	}
+	f.follows = follows
+	if follows {
+		f.record(event.ReaderStoodDown, "searchers")
 		return
 	}
-	batch, err := f.Fallback(ctx)
+	f.record(event.ReaderElected, "searchers")
+}
+
+// readPeers takes the changes that a reader knows, and returns the pause that follows.
+func (f *Feed) readPeers(ctx context.Context) yuccahinge.Millis {
+	b, err := f.Peers.Changes(ctx, f.census.Revision(), peerWaitMs)
 	if err != nil {
-		if ctx.Err() == nil && !f.alone {
-			f.alone = true
+		if ctx.Err() == nil {
+			f.directUntil = f.Clock.Now() + directMs
 			f.record(event.SpreadPullFailed, "searchers: "+err.Error())
 		}
-		return
+		return 0
 	}
-	f.alone = false
-	if f.census.Merge(f.Clock.Now(), batch) {
-		f.publish()
+	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+	return peerPauseMs
+}
+
+// readPlatform reads the whole list, or the changes once that is known, and returns the pause that follows.
+func (f *Feed) readPlatform(ctx context.Context) yuccahinge.Millis {
+	b, err := f.next(ctx)
+	switch {
+	case ctx.Err() != nil:
+		return 0
+	case err == nil:
+		f.regained(b)
+		f.take(func(now yuccahinge.Millis) bool { return f.census.Apply(now, b) }, true)
+		return f.pause()
+	case errors.Is(err, yuccahinge.ErrHistoryGone):
+		f.listed = false
+		return 0
 	}
+	f.lost(err)
+	f.fallBack(ctx)
+	pause := f.backoff
+	f.backoff = min(2*f.backoff, maxBackoff)
+	return pause
 }
 
-func (f *Feed) apply(now yuccahinge.Millis, b *yuccahinge.Batch) {
-	first := !f.listed && f.census.Revision() == 0
-	f.listed = true
-	if f.census.Apply(now, b) || first {
-		f.publish()
+func (f *Feed) next(ctx context.Context) (*yuccahinge.Batch, error) {
+	if !f.listed {
+		return f.Publisher.List(ctx)
 	}
+	return f.Publisher.Changes(ctx, f.census.Revision(), waitMs)
 }
 
-func (f *Feed) publish() {
+// take lets changes into the list and tells what follows from them.
+func (f *Feed) take(change func(now yuccahinge.Millis) bool, fresh bool) {
+	changed := false
+	f.Peers.Do(func() { changed = change(f.Clock.Now()) })
+	first := fresh && !f.listed
+	f.listed = f.listed || fresh
+	f.Peers.Keep(f.census.Revision(), changed, fresh, f.census.Since)
+	if !changed && !first {
+		return
+	}
 	f.record(event.SearchersChanged, fmt.Sprintf("%d searchers at revision %d", f.census.Len(), f.census.Revision()))
 	f.Changed(f.census.Services())
-	if f.Keep != nil {
-		f.Keep(f.census.Batch())
-	}
 }
 
-// lost notes that the platform can't be read. Searchers that were leaving go on doing so.
-func (f *Feed) lost(now yuccahinge.Millis, err error) {
+// lost notes that the platform can't be read.
+func (f *Feed) lost(err error) {
 	f.census.Away()
-	if f.census.Expire(now) {
-		f.publish()
-	}
 	if !f.down {
 		f.down = true
 		f.record(event.PlatformDown, "searchers: "+err.Error())
 	}
 }
 
+// fallBack takes the list of a host that may be better off.
+func (f *Feed) fallBack(ctx context.Context) {
+	b, err := f.Peers.Any(ctx, f.census.Revision())
+	if err != nil {
+		if ctx.Err() == nil && !f.alone {
+			f.alone = true
+			f.record(event.SpreadPullFailed, "searchers: "+err.Error())
+		}
+		f.take(f.census.Expire, false)
+		return
+	}
+	f.alone = false
+	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+}
+
 func (f *Feed) regained(b *yuccahinge.Batch) {
 	f.backoff = firstBackoff
 	if f.down {
@@ -146,16 +201,11 @@
 	}
 }
 
-// pause returns the time until the next watch. An entry whose grace ends earlier shortens it.
 func (f *Feed) pause() yuccahinge.Millis {
-	pause := f.PauseMs
-	if pause <= 0 {
-		pause = defaultPause
+	if f.PauseMs > 0 {
+		return f.PauseMs
 	}
-	if at, ok := f.census.Next(); ok {
-		pause = min(pause, max(0, at-f.Clock.Now()))
-	}
-	return pause
+	return defaultPause
 }
 
 // sleep waits for a span with up to an eighth of it added or taken away.
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -1,67 +1,196 @@
-// Package relay lets entry hosts get the list of searchers from each other while the platform can't be read.
+// Package relay lets entry hosts get the list of searchers from each other, so that few of them read the platform.
 package relay
 
 import (
 	"context"
-	"sync/atomic"
+	"slices"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/rendez"
 )
 
-// Method is the peer method that returns the list of searchers.
+// Method is the peer method that returns changes of the list of searchers.
 const Method yuccahinge.PeerMethod = "searchers"
 
 const (
-	// askPeers is the number of hosts that are asked for the list at a time.
+	// minReaders is the least number of hosts that read the platform, and hostsPerReader the hosts that each of them
+	// tells at the most.
+	minReaders     = 2
+	hostsPerReader = 16
+	// freshMs is the age of a reader's last read from which it no longer speaks for the platform.
+	freshMs = 2 * yuccahinge.Second
+	// askPeers is the number of hosts that are asked at a time when the platform and its readers can't be reached.
 	askPeers = 3
-	// callMs bounds a call to a peer.
-	callMs = 1 * yuccahinge.Second
+	// callMs bounds a call to a peer beyond the time that it was asked to wait.
+	callMs yuccahinge.Millis = 600
 )
 
-// errNoList reports that no peer has given its list.
-var errNoList = errors.New("no peer gave its list of searchers")
+var (
+	errNoReader = errors.New("this host is the only reader")
+	errNoList   = errors.New("no peer gave its list of searchers")
+)
 
-// Relay answers peers with the list of this host and asks them for theirs. Set Peers, Roster and Self before the first
-// use.
+// Relay answers peers from the list of this host and asks them for theirs. It implements yuccahinge.Publisher. Set
+// Self, Peers, Roster and Clock before the first use.
 type Relay struct {
 	Self   yuccahinge.HostID
 	Peers  yuccahinge.PeerCaller
 	Roster yuccahinge.Roster
+	Clock  yuccahinge.Clock
+
+	mu      sync.Mutex
+	since   func(yuccahinge.Revision) *yuccahinge.Batch
+	latest  yuccahinge.Revision // of the newest change
+	read    yuccahinge.Millis   // when the platform was last read
+	changed chan struct{}       // closed at the next change
+	turn    int
+}
+
+var _ yuccahinge.Publisher = (*Relay)(nil)
+
+// request asks for the changes after a revision.
+type request struct {
+	After  yuccahinge.Revision `json:"after"`
+	WaitMs yuccahinge.Millis   `json:"waitMs,omitempty"`
+	// Any takes the list of a host that can't read the platform either.
+	Any bool `json:"any,omitempty"`
+}
 
-	list atomic.Pointer[yuccahinge.Batch]
-	turn atomic.Uint32 // rounds, each of which begins with other hosts
+// Keep takes what this host knows: a function that returns the changes after a revision, and whether it has changed
+// since the last call. The function is called under the relay's lock only.
+func (r *Relay) Keep(revision yuccahinge.Revision, changed, fresh bool, since func(yuccahinge.Revision) *yuccahinge.Batch) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.since = since
+	if fresh {
+		r.read = r.Clock.Now()
+	}
+	if !changed {
+		return
+	}
+	r.latest = revision
+	if r.changed != nil {
+		close(r.changed)
+		r.changed = nil
+	}
 }
 
-// Keep takes the list that this host has.
-func (r *Relay) Keep(list *yuccahinge.Batch) { r.list.Store(list) }
+// Do calls f while no peer is answered, so that it may change what Keep's function reads.
+func (r *Relay) Do(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
+// Reads reports whether this host is one of those that read the platform.
+func (r *Relay) Reads() bool { return slices.Contains(r.readers(), r.Self) }
+
+// readers returns the hosts that read the platform by what this host believes of the others.
+func (r *Relay) readers() []yuccahinge.HostID {
+	ids := []string{string(r.Self)}
+	for _, m := range r.Roster.Members() {
+		if m.Status == yuccahinge.StatusLive && m.ID != string(r.Self) {
+			ids = append(ids, m.ID)
+		}
+	}
+	n := max(minReaders, (len(ids)+hostsPerReader-1)/hostsPerReader)
+	var out []yuccahinge.HostID
+	for _, id := range rendez.Order("searchers", ids)[:min(n, len(ids))] {
+		out = append(out, yuccahinge.HostID(id))
+	}
+	return out
+}
 
 // Register hands the peer method to a server.
 func (r *Relay) Register(handle func(yuccahinge.PeerMethod, yuccahinge.PeerHandler)) {
-	handle(Method, func(context.Context, func(any) error) (any, error) {
-		if list := r.list.Load(); list != nil {
-			return list, nil
+	handle(Method, func(ctx context.Context, decode func(any) error) (any, error) {
+		var q request
+		if err := decode(&q); err != nil {
+			return nil, err
 		}
-		return nil, &yuccahinge.Error{Code: yuccahinge.CodeNotFound, Step: yuccahinge.StepPeer, Message: "this host has no list of searchers"}
+		return r.answer(ctx, &q)
 	})
 }
 
-// List returns the newest list that a few peers have.
-func (r *Relay) List(ctx context.Context) (*yuccahinge.Batch, error) {
-	ctx, cancel := context.WithTimeout(ctx, callMs.Duration())
+func (r *Relay) answer(ctx context.Context, q *request) (any, error) {
+	if q.WaitMs > 0 {
+		r.await(ctx, q)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.since == nil || !q.Any && r.Clock.Now() > r.read+freshMs {
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPeer, Message: "this host can't read the platform"}
+	}
+	return r.since(q.After), nil
+}
+
+// await returns when something has changed after the revision asked for, or when the wait is over.
+func (r *Relay) await(ctx context.Context, q *request) {
+	r.mu.Lock()
+	if r.latest > q.After {
+		r.mu.Unlock()
+		return
+	}
+	if r.changed == nil {
+		r.changed = make(chan struct{})
+	}
+	changed := r.changed
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, q.WaitMs.Duration())
 	defer cancel()
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// List implements yuccahinge.Publisher.
+func (r *Relay) List(ctx context.Context) (*yuccahinge.Batch, error) { return r.Changes(ctx, 0, 0) }
+
+// Changes implements yuccahinge.Publisher: it asks one of the readers.
+func (r *Relay) Changes(ctx context.Context, after yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
+	readers := r.readers()
+	r.mu.Lock()
+	r.turn++
+	first := r.turn
+	r.mu.Unlock()
+	err := errNoReader
+	for i := range readers {
+		m, ok := r.Roster.Find(readers[(first+i)%len(readers)])
+		if !ok || m.ID == string(r.Self) {
+			continue
+		}
+		var b *yuccahinge.Batch
+		if b, err = r.ask(ctx, m.PeerAddr, &request{After: after, WaitMs: wait}); err == nil {
+			return b, nil
+		}
+	}
+	return nil, err
+}
+
+// Any returns the newest list that a few peers have, whether or not they can read the platform.
+func (r *Relay) Any(ctx context.Context, after yuccahinge.Revision) (*yuccahinge.Batch, error) {
+	members := r.Roster.Members()
+	r.mu.Lock()
+	r.turn++
+	first := r.turn * askPeers
+	r.mu.Unlock()
 	answers := make(chan *yuccahinge.Batch, askPeers)
 	asked := 0
-	members := r.Roster.Members()
-	first := int(r.turn.Add(1)) * askPeers
 	for i := range members {
 		m := members[(first+i)%len(members)]
 		if m.ID == string(r.Self) || m.PeerAddr == "" || asked == askPeers {
 			continue
 		}
 		asked++
-		go func() { answers <- r.ask(ctx, m.PeerAddr) }()
+		go func() {
+			// A peer that is gone or new itself has no list; the roster learns of it elsewhere.
+			b, _ := r.ask(ctx, m.PeerAddr, &request{After: after, Any: true})
+			answers <- b
+		}()
 	}
 	var best *yuccahinge.Batch
 	for range asked {
@@ -75,11 +204,12 @@
 	return best, nil
 }
 
-// ask returns a peer's list, or nil. The peer may be gone or new itself; the roster learns of it elsewhere.
-func (r *Relay) ask(ctx context.Context, addr string) *yuccahinge.Batch {
+func (r *Relay) ask(ctx context.Context, addr string, q *request) (*yuccahinge.Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, (q.WaitMs + callMs).Duration())
+	defer cancel()
 	out := new(yuccahinge.Batch)
-	if err := r.Peers.Call(ctx, addr, Method, struct{}{}, out); err != nil {
-		return nil
+	if err := r.Peers.Call(ctx, addr, Method, q, out); err != nil {
+		return nil, err
 	}
-	return out
+	return out, nil
 }
