Leave the rotation when others bring more of the worth of a host's requests

Half was a fragile bound: what counts is the worth that the host can bring, by the square of the share of shards within reach, against all of it elsewhere.

--- a/internal/host/gate/probe.go
+++ b/internal/host/gate/probe.go
@@ -16,8 +16,9 @@
 	probeMs = 400 * yuccahinge.Millis(1)
 	// probesAtOnce bounds the probes of one look.
 	probesAtOnce = 6
-	// servedShare is the share of the requests that a host must be able to answer to stay in the balancer's rotation.
-	servedShare = 0.5
+	// servedShare is how much of the worth of its requests a host must be able to bring to stay in the balancer's
+	// rotation. In a cut that spares the other hosts these bring all of it.
+	servedShare = 0.9
 )
 
 // prober asks searchers how they are.
@@ -61,7 +62,7 @@
 	}
 }
 
-// serves reports whether this host can answer most of what it is asked for. What no host can reach is no reason to
+// serves reports whether this host can answer what it is asked for as well as others. What no host can reach is no reason to
 // send callers elsewhere, so that it always does while no failure domain is cut off.
 func (g *Gate) serves(now yuccahinge.Millis) bool {
 	plan := g.Plan()
@@ -72,17 +73,21 @@
 		g.asked.Observe(now, plan.Entries)
 		return true
 	}
-	return g.asked.Share(plan.Entries, func(e *chart.Entry) bool { return g.answers(now, e) }) >= servedShare
+	return g.asked.Mean(plan.Entries, func(e *chart.Entry) float64 { return g.answers(now, e) }) >= servedShare
 }
 
-// answers reports whether enough searchers of a route are within reach.
-func (g *Gate) answers(now yuccahinge.Millis, e *chart.Entry) bool {
+// answers returns what the best answer of a route from here is worth to its caller, from 0 to 1: shards that are
+// left out cost the square of the share.
+func (g *Gate) answers(now yuccahinge.Millis, e *chart.Entry) float64 {
+	worst := 1.0
 	for _, ix := range e.Targets() {
 		if !g.parts.engine.Serves(now, ix, e.Route.LeastShare) {
-			return false
+			return 0
 		}
+		share := float64(g.parts.route.Reachable(now, ix)) / float64(len(ix.Shards))
+		worst = min(worst, share*share)
 	}
-	return true
+	return worst
 }
 
 // probe asks a few searchers that get no calls.
--- a/internal/state/chart/demand.go
+++ b/internal/state/chart/demand.go
@@ -35,21 +35,19 @@
 	d.routes = next
 }
 
-// Share returns the share of the requests that go to routes which pass a test, or one if there were none.
-func (d *Demand) Share(entries []*Entry, passes func(e *Entry) bool) float64 {
-	all, good := 0.0, 0.0
+// Mean returns the mean of a value of the routes, each counted by its requests, or one if there were none.
+func (d *Demand) Mean(entries []*Entry, value func(e *Entry) float64) float64 {
+	all, sum := 0.0, 0.0
 	for _, e := range entries {
 		w := d.routes[e.Route.Name].weight
 		if w == 0 {
 			continue
 		}
 		all += w
-		if passes(e) {
-			good += w
-		}
+		sum += w * value(e)
 	}
 	if all == 0 {
 		return 1
 	}
-	return good / all
+	return sum / all
 }
--- a/internal/state/chart/demand_test.go
+++ b/internal/state/chart/demand_test.go
@@ -12,7 +12,12 @@
 	c.Staff(staff("x"))
 	var d Demand
 	only := func(name yuccahinge.RouteName) float64 {
-		return d.Share(c.Plan().Entries, func(e *Entry) bool { return e.Route.Name == name })
+		return d.Mean(c.Plan().Entries, func(e *Entry) float64 {
+			if e.Route.Name == name {
+				return 1
+			}
+			return 0
+		})
 	}
 	if only("idle") != 1 {
 		t.Fatal("without requests every route counts as served")
