Leave overloaded shards out at once where the answer can do without them

Pattern of load: both replicas of two or three shards are gone or slow, so that what is left of them serves a part of the queries. Every query asked, queues grew to the searchers' limit, and every reply was late or refused. A query now leaves such a shard out with a chance that grows with the expected wait, up to the shards its answer can do without, in an order that differs from query to query.

--- a/gather/gather.go
+++ b/gather/gather.go
@@ -57,7 +57,9 @@
 	// SuspectShard is where a suspect query lost a searcher. It is asked first.
 	SuspectShard yuccahinge.ShardID
 
-	Picker      yuccahinge.Picker
+	Picker yuccahinge.Picker
+	// Estimator lets the query leave shards out at once that would be late anyway; nil asks every shard.
+	Estimator   yuccahinge.Estimator
 	Hedger      yuccahinge.Hedger
 	Learner     yuccahinge.Learner
 	Observer    yuccahinge.Observer
@@ -97,6 +99,7 @@
 	for i := range g.shards {
 		g.shards[i].spec = &g.Index.Shards[i]
 	}
+	g.spare(now)
 	if (g.Canary || g.Suspect) && n > 1 {
 		g.holding = true
 		g.askCanaries(now)
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -50,6 +50,8 @@
 	Gossip yuccahinge.Gossip
 	// Reach returns the number of shards of an index that this host can reach now; nil trusts all that have a searcher.
 	Reach func(now yuccahinge.Millis, ix *yuccahinge.Index) int
+	// Estimator lets forwarded requests leave overloaded shards out; nil asks every shard.
+	Estimator yuccahinge.Estimator
 	// Domain is this host's failure domain.
 	Domain   yuccahinge.DomainID
 	Clock    yuccahinge.Clock
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -129,6 +129,7 @@
 	g.LeastCoverage = f.Route.LeastShare
 	if f.Route.Scattered() {
 		g.EnoughCoverage = f.Route.LeastShare
+		g.Estimator = q.engine.Estimator
 		g.SoftDeadline = f.Arrived + f.Route.ObjectiveMs - q.engine.lead(f)
 	}
 }
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -113,6 +113,7 @@
 	e.Caller = client
 	e.Reach = p.route.Reachable
 	e.Picker = &p.route
+	e.Estimator = &p.route
 	e.Observer = &p.route
 	e.Hedger = &p.hedge
 	e.Learner = &p.hedge
--- a/policy.go
+++ b/policy.go
@@ -6,6 +6,12 @@
 	Pick(now Millis, ix *Index, shard *Shard, tried []SearcherID) (SearcherID, bool)
 }
 
+// Estimator tells how long an attempt at a shard may take.
+type Estimator interface {
+	// Wait returns the expected time of one more attempt at the shard's best searcher, or false when none may be used.
+	Wait(now Millis, ix *Index, shard *Shard) (Millis, bool)
+}
+
 // Observer learns how attempts go.
 type Observer interface {
 	Started(now Millis, id SearcherID)
--- a/route/route.go
+++ b/route/route.go
@@ -49,6 +49,23 @@
 	return r.choose(all), true
 }
 
+// Wait returns the expected time of one more attempt at the best searcher of a shard, or false when none of them gets
+// calls now.
+func (r *Route) Wait(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard) (yuccahinge.Millis, bool) {
+	var room [maxReplicas]candidate
+	best, found := 0.0, false
+	for _, c := range r.candidates(room[:0], now, ix, shard, nil) {
+		if c.ejected {
+			continue
+		}
+		// What calls have taken lately contains the queue.
+		if wait := c.stat.estimate(now, float64(c.stat.inFlight.Load())); !found || wait < best {
+			best, found = wait, true
+		}
+	}
+	return yuccahinge.Millis(best), found
+}
+
 // Started counts an attempt in flight.
 func (r *Route) Started(now yuccahinge.Millis, id yuccahinge.SearcherID) { r.stat(id).started(now) }
 
