Have stronger hosts ask the searchers of wide requests

place chooses a host of the same failure domain whose link and processor are so much stronger that the hop pays, spreads requests over the strongest, and leaves out those that fail; assign hands the request over by drpc with the key of its index, so that both go by the same set of shards, and asks the searchers here when nobody answers, as repeats within the budget. One merged answer of some 3 KB comes back.

--- a/event/searcher.go
+++ b/event/searcher.go
@@ -8,6 +8,7 @@
 	SearchersChanged yuccahinge.EventCode = 601
 	DomainCut        yuccahinge.EventCode = 602
 	DomainBack       yuccahinge.EventCode = 603
+	HelperFailed     yuccahinge.EventCode = 604
 )
 
 var searcherNames = map[yuccahinge.EventCode]string{
@@ -15,4 +16,5 @@
 	SearchersChanged: "searchersChanged",
 	DomainCut:        "domainCut",
 	DomainBack:       "domainBack",
+	HelperFailed:     "helperFailed",
 }
--- a/index.go
+++ b/index.go
@@ -8,6 +8,9 @@
 	Version   IndexVersion             `json:"version"`
 	Shards    []Shard                  `json:"shards"`
 	Searchers map[SearcherID]*Searcher `json:"searchers"`
+	// Key stands for the services of the shards where each has one of its own, so that hosts can name an index to
+	// each other.
+	Key uint64 `json:"-"`
 }
 
 // Shard is a range of the key space and the searchers that hold a replica of it.
--- /dev/null
+++ b/internal/front/assign/assign.go
@@ -0,0 +1,127 @@
+// Package assign lets a stronger entry host ask the searchers of a scattered request, and asks them here otherwise.
+package assign
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/front/query"
+	"github.com/yuccahinge/yuccahinge/internal/peers/peer"
+	"github.com/yuccahinge/yuccahinge/place"
+)
+
+// Method is the peer method that runs a scattered request for another host.
+const Method yuccahinge.PeerMethod = "scatter"
+
+const (
+	// backMs is what the answer's way back from the other host and its decoding here take, in milliseconds.
+	backMs yuccahinge.Millis = 4
+	// silentMs is how long after the answer was due a host counts as silent.
+	silentMs yuccahinge.Millis = 25
+	// mostHelpers bounds the hosts that are tried for one request. Each but the last has refused it.
+	mostHelpers = 2
+)
+
+// engine runs requests on this host.
+type engine interface {
+	Forward(ctx context.Context, f *query.Forward) (*query.Forwarded, error)
+	AnswerBy(f *query.Forward) yuccahinge.Millis
+}
+
+// Assign answers forwarded requests. Set all fields before the first request.
+type Assign struct {
+	Engine engine
+	Place  *place.Place
+	Roster yuccahinge.Roster
+	Peers  yuccahinge.PeerCaller
+	Clock  yuccahinge.Clock
+	// Index returns the index with a key, or nil if this host does not know its services.
+	Index    func(key uint64) *yuccahinge.Index
+	Recorder yuccahinge.Recorder
+}
+
+// Forward answers a request as query.Engine does.
+func (a *Assign) Forward(ctx context.Context, f *query.Forward) (*query.Forwarded, error) {
+	if !f.Route.Scattered() {
+		return a.Engine.Forward(ctx, f)
+	}
+	var tried []yuccahinge.HostID
+	for range mostHelpers {
+		m, ok := a.Place.Choose(a.Clock.Now(), a.Roster.Members(), len(f.Index.Shards), string(f.Request), tried...)
+		if !ok {
+			break
+		}
+		answer, err := a.hand(ctx, f, &m)
+		switch {
+		case err == nil:
+			return answer, nil
+		case errors.Is(err, errNotTaken):
+			tried = append(tried, yuccahinge.HostID(m.ID))
+			continue
+		case !errors.Is(err, errSilent) || ctx.Err() != nil:
+			return nil, err
+		}
+		// The other host may have asked the searchers: asking them once more draws on the budget.
+		f.Repeated = true
+		break
+	}
+	return a.Engine.Forward(ctx, f)
+}
+
+var (
+	// errNotTaken marks that the other host did not run the request.
+	errNotTaken = errors.New("the host did not take the request")
+	// errSilent marks that the other host gave no answer.
+	errSilent = errors.New("the host gave no answer")
+)
+
+// hand has another host run a request. The error is marked with errNotTaken or errSilent unless it is the answer.
+func (a *Assign) hand(ctx context.Context, f *query.Forward, m *yuccahinge.Member) (*query.Forwarded, error) {
+	now := a.Clock.Now()
+	due := a.Engine.AnswerBy(f)
+	call, cancel := context.WithTimeout(ctx, (max(due, now) + silentMs - now).Duration())
+	defer cancel()
+	var reply Reply
+	err := a.Peers.Call(call, m.PeerAddr, Method, ask(f, now, due-backMs), &reply)
+	id := yuccahinge.HostID(m.ID)
+	switch {
+	case err == nil:
+		a.Place.Answered(id)
+		return reply.answer()
+	case ctx.Err() != nil:
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeDeadline, Step: yuccahinge.StepForward, Peer: m.ID, Message: "the caller has gone", Err: ctx.Err()}
+	case yuccahinge.CodeOf(err) == yuccahinge.CodeNotFound:
+		// It lacks the configuration that this request goes by.
+		return nil, errors.Mark(err, errNotTaken)
+	}
+	a.Place.Failed(a.Clock.Now(), id)
+	a.Recorder.Record(yuccahinge.Event{Code: event.HelperFailed, Request: f.Request, Peer: m.ID, Detail: err.Error()})
+	if peer.NeverSent(err) {
+		return nil, errors.Mark(err, errNotTaken)
+	}
+	return nil, errors.Mark(err, errSilent)
+}
+
+// Register hands the peer method to a server.
+func (a *Assign) Register(handle func(yuccahinge.PeerMethod, yuccahinge.PeerHandler)) {
+	handle(Method, func(ctx context.Context, decode func(any) error) (any, error) {
+		var r Request
+		if err := decode(&r); err != nil {
+			return nil, err
+		}
+		return a.run(ctx, &r)
+	})
+}
+
+// run runs a request for another host.
+func (a *Assign) run(ctx context.Context, r *Request) (any, error) {
+	ix := a.Index(r.Index)
+	if ix == nil {
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeNotFound, Step: yuccahinge.StepForward, Message: "this host does not know the services of the request", Outcome: yuccahinge.NotRun}
+	}
+	answer, err := a.Engine.Forward(ctx, r.forward(a.Clock.Now(), ix))
+	return replyOf(answer, err), nil
+}
--- /dev/null
+++ b/internal/front/assign/message.go
@@ -0,0 +1,101 @@
+package assign
+
+import (
+	"errors"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/front/query"
+)
+
+// Request is a scattered request as one host hands it to another. Instants are spans from its receipt, since clocks
+// differ.
+type Request struct {
+	Request    yuccahinge.RequestID    `json:"request"`
+	Ticket     yuccahinge.TicketNumber `json:"ticket"`
+	Index      uint64                  `json:"index"`
+	Route      yuccahinge.RouteName    `json:"route"`
+	MaxRecords int                     `json:"maxRecords"`
+	LeastShare float64                 `json:"leastShare"`
+	Attempts   int                     `json:"attempts"`
+	AnswerMs   yuccahinge.Millis       `json:"answerMs"`
+	DeadlineMs yuccahinge.Millis       `json:"deadlineMs"`
+	Message    *yuccahinge.Message     `json:"message"`
+}
+
+// Reply is the answer to a Request.
+type Reply struct {
+	Records    []byte   `json:"records,omitempty"`
+	Signatures []string `json:"signatures,omitempty"`
+	Missing    int      `json:"missing,omitempty"`
+	// Problem is why there is no answer.
+	Problem *Problem `json:"problem,omitempty"`
+}
+
+// Problem is an error in a Reply.
+type Problem struct {
+	Code         yuccahinge.Code    `json:"code"`
+	Step         yuccahinge.Step    `json:"step"`
+	Message      string             `json:"message"`
+	Outcome      yuccahinge.Outcome `json:"outcome"`
+	RetryAfterMs yuccahinge.Millis  `json:"retryAfterMs,omitempty"`
+}
+
+// ask returns the request for another host that is to answer at an instant.
+func ask(f *query.Forward, now, answerBy yuccahinge.Millis) *Request {
+	return &Request{
+		Request:    f.Request,
+		Ticket:     f.Ticket,
+		Index:      f.Index.Key,
+		Route:      f.Route.Name,
+		MaxRecords: f.Route.MaxRecords,
+		LeastShare: f.Route.LeastShare,
+		Attempts:   f.Route.Attempts,
+		AnswerMs:   answerBy - now,
+		DeadlineMs: f.Deadline - now,
+		Message:    f.Message,
+	}
+}
+
+// forward returns the request as this host runs it.
+func (r *Request) forward(now yuccahinge.Millis, ix *yuccahinge.Index) *query.Forward {
+	shards := make([]yuccahinge.ServiceName, len(ix.Shards))
+	for i := range ix.Shards {
+		shards[i] = ix.Shards[i].Group
+	}
+	return &query.Forward{
+		Request: r.Request,
+		Ticket:  r.Ticket,
+		Route: &yuccahinge.Route{
+			Name:       r.Route,
+			Repeat:     yuccahinge.Idempotent,
+			Shards:     shards,
+			MaxRecords: r.MaxRecords,
+			LeastShare: r.LeastShare,
+			Attempts:   r.Attempts,
+		},
+		Index:    ix,
+		Message:  r.Message,
+		Arrived:  now,
+		AnswerBy: now + r.AnswerMs,
+		Deadline: now + r.DeadlineMs,
+	}
+}
+
+func replyOf(answer *query.Forwarded, err error) *Reply {
+	if err == nil {
+		return &Reply{Records: answer.Records, Signatures: answer.Signatures, Missing: answer.Missing}
+	}
+	p := &Problem{Code: yuccahinge.CodeInternal, Message: err.Error(), Outcome: yuccahinge.Unknown}
+	var e *yuccahinge.Error
+	if errors.As(err, &e) {
+		p = &Problem{Code: e.Code, Step: e.Step, Message: e.Message, Outcome: e.Outcome, RetryAfterMs: e.RetryAfterMs}
+	}
+	return &Reply{Problem: p}
+}
+
+func (r *Reply) answer() (*query.Forwarded, error) {
+	if p := r.Problem; p != nil {
+		return nil, &yuccahinge.Error{Code: p.Code, Step: p.Step, Message: p.Message, Outcome: p.Outcome, RetryAfterMs: p.RetryAfterMs}
+	}
+	return &query.Forwarded{Records: r.Records, Signatures: r.Signatures, Missing: r.Missing}, nil
+}
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -34,8 +34,12 @@
 	CallerWayMs yuccahinge.Millis
 	// NewConnection says that the caller has connected for this request.
 	NewConnection bool
+	// AnswerBy is when the answer has to leave; zero follows from the route's objective.
+	AnswerBy yuccahinge.Millis
 	// Deadline is when the caller stops waiting.
 	Deadline yuccahinge.Millis
+	// Repeated says that another host may have sent the request to the searchers already.
+	Repeated bool
 }
 
 // Forwarded is the answer to a Forward.
@@ -84,6 +88,14 @@
 	return q.forwarded(f)
 }
 
+// AnswerBy returns when the answer to a scattered request has to leave this host.
+func (e *Engine) AnswerBy(f *Forward) yuccahinge.Millis {
+	if f.AnswerBy > 0 {
+		return f.AnswerBy
+	}
+	return f.Arrived + f.Route.ObjectiveMs - e.lead(f)
+}
+
 // lead returns the time before a route's objective at which an answer leaves. The objective counts from when the
 // caller began to connect: the ways of the connection's first packets, of the request and of the answer.
 func (e *Engine) lead(f *Forward) yuccahinge.Millis {
@@ -126,11 +138,12 @@
 	g.AtMostOnce = f.Route.Repeat != yuccahinge.Idempotent
 	g.KeepFirst = true
 	g.Proven = true
+	g.Repeated = f.Repeated
 	g.LeastCoverage = f.Route.LeastShare
 	if f.Route.Scattered() {
 		g.EnoughCoverage = f.Route.LeastShare
 		g.Estimator = q.engine.Estimator
-		g.SoftDeadline = f.Arrived + f.Route.ObjectiveMs - q.engine.lead(f)
+		g.SoftDeadline = q.engine.AnswerBy(f)
 	}
 }
 
--- a/internal/host/config/forward.go
+++ b/internal/host/config/forward.go
@@ -11,5 +11,7 @@
 	ExtraWindowMs yuccahinge.Millis `json:"extraWindowMs"`
 	ListPauseMs   yuccahinge.Millis `json:"listPauseMs"`
 	CallerWayMs   yuccahinge.Millis `json:"callerWayMs"`
+	Cores         float64           `json:"cores"`
+	LinkMbps      float64           `json:"linkMbps"`
 	LogLines      int               `json:"logLines"`
 }
--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -16,7 +16,7 @@
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/hybrid"
 	"github.com/yuccahinge/yuccahinge/internal/call/conns"
-	"github.com/yuccahinge/yuccahinge/internal/front/query"
+	"github.com/yuccahinge/yuccahinge/internal/front/assign"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/state/chart"
 	"github.com/yuccahinge/yuccahinge/internal/view/logs"
@@ -78,6 +78,8 @@
 		Incarnation: yuccahinge.Incarnation(fmt.Sprintf("%016x", rand.Uint64())),
 		CallerAddr:  g.ports.callers.Addr().String(),
 		PeerAddr:    g.ports.peers.Addr().String(),
+		Cores:       g.Settings.Forward.Cores,
+		LinkMbps:    g.Settings.Forward.LinkMbps,
 	}
 	return nil
 }
@@ -111,7 +113,7 @@
 }
 
 // Engine returns what answers forwarded requests.
-func (g *Gate) Engine() *query.Engine { return &g.parts.engine }
+func (g *Gate) Engine() *assign.Assign { return &g.parts.assign }
 
 // Plan returns the plan in force, or nil while none is known.
 func (g *Gate) Plan() *chart.Plan { return g.parts.chart.Plan() }
--- a/internal/host/gate/parts.go
+++ b/internal/host/gate/parts.go
@@ -6,6 +6,7 @@
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/hedge"
 	"github.com/yuccahinge/yuccahinge/internal/call/conns"
+	"github.com/yuccahinge/yuccahinge/internal/front/assign"
 	"github.com/yuccahinge/yuccahinge/internal/front/query"
 	"github.com/yuccahinge/yuccahinge/internal/peers/peer"
 	"github.com/yuccahinge/yuccahinge/internal/peers/pool"
@@ -13,6 +14,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/state/feed"
 	"github.com/yuccahinge/yuccahinge/internal/state/keeper"
 	"github.com/yuccahinge/yuccahinge/internal/state/relay"
+	"github.com/yuccahinge/yuccahinge/place"
 	"github.com/yuccahinge/yuccahinge/quota"
 	"github.com/yuccahinge/yuccahinge/route"
 	"github.com/yuccahinge/yuccahinge/share"
@@ -32,6 +34,8 @@
 
 	engine query.Engine
 	conns  conns.Conns
+	assign assign.Assign
+	place  place.Place
 	route  route.Route
 	hedge  hedge.Hedge
 	quota  quota.Quota
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -33,6 +33,7 @@
 	g.wirePeers()
 	g.wireState()
 	g.wireSearchers()
+	g.wireAssign()
 	g.wireFronts()
 }
 
@@ -127,6 +128,25 @@
 	e.CallerWayMs = s.CallerWayMs
 }
 
+func (g *Gate) wireAssign() {
+	p := &g.parts
+	p.place.Self = g.self
+	a := &p.assign
+	a.Engine = &p.engine
+	a.Place = &p.place
+	a.Roster = p.keeper.Roster()
+	a.Peers = &p.pool
+	a.Clock = g.clock
+	a.Recorder = &g.events
+	a.Index = func(key uint64) *yuccahinge.Index {
+		if plan := p.chart.Plan(); plan != nil {
+			return plan.Index(key)
+		}
+		return nil
+	}
+	a.Register(p.peers.Handle)
+}
+
 func (g *Gate) wireFronts() {
 	p := &g.parts
 	p.callers = &http.Server{ConnContext: remote.Context, Handler: g.wrap(g.Outside.Front(g)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
--- a/internal/state/chart/build.go
+++ b/internal/state/chart/build.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/yuccahinge/yuccahinge"
 )
 
@@ -45,6 +47,7 @@
 		return ix
 	}
 	ix := &yuccahinge.Index{
+		Key:       xxhash.Sum64String(key),
 		Shards:    make([]yuccahinge.Shard, len(services)),
 		Searchers: make(map[yuccahinge.SearcherID]*yuccahinge.Searcher, 2*len(services)),
 	}
--- a/internal/state/chart/chart.go
+++ b/internal/state/chart/chart.go
@@ -47,7 +47,7 @@
 		return
 	}
 	b := builder{routing: c.routing, services: c.services, indexes: make(map[string]*yuccahinge.Index)}
-	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry)}
+	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry), byKey: make(map[uint64]*yuccahinge.Index)}
 	for _, r := range c.routing.Routes {
 		host := Host(r.Host)
 		e := b.entry(r, c.turn(r.Name))
@@ -59,6 +59,7 @@
 	}
 	for _, ix := range b.indexes {
 		p.Indexes = append(p.Indexes, ix)
+		p.byKey[ix.Key] = ix
 	}
 	c.plan.Store(p)
 }
--- a/internal/state/chart/plan.go
+++ b/internal/state/chart/plan.go
@@ -17,6 +17,7 @@
 	Entries []*Entry
 
 	hosts map[string][]*Entry // the longest prefix first
+	byKey map[uint64]*yuccahinge.Index
 }
 
 // Entry is a route and the searchers that it leads to.
@@ -33,6 +34,9 @@
 	index *yuccahinge.Index
 }
 
+// Index returns the index with a key, or nil.
+func (p *Plan) Index(key uint64) *yuccahinge.Index { return p.byKey[key] }
+
 // Match returns the entry with the longest prefix of the path, or nil. The host is one that Host has returned.
 func (p *Plan) Match(host, path string) *Entry {
 	for _, e := range p.hosts[host] {
--- /dev/null
+++ b/internal/state/feed/feed_test.go
@@ -0,0 +1,185 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/clock"
+)
+
+var errDown = errors.New("the platform is down")
+
+// platform is a Publisher and other hosts that follow it, with faults.
+type platform struct {
+	mu       sync.Mutex
+	down     bool
+	gone     bool // the history
+	peers    bool // some host can read the platform
+	reads    bool // this host is to read it
+	calls    int
+	revision yuccahinge.Revision
+	ids      []string
+}
+
+func (p *platform) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+	p.revision++
+}
+
+func (p *platform) whole() *yuccahinge.Batch {
+	b := &yuccahinge.Batch{Whole: true, Revision: p.revision}
+	for _, id := range p.ids {
+		b.Changes = append(b.Changes, yuccahinge.Change{Key: id, Revision: 1, Listing: &yuccahinge.Listing{ID: yuccahinge.SearcherID(id), Service: "s"}})
+	}
+	return b
+}
+
+func (p *platform) read(after yuccahinge.Revision) (*yuccahinge.Batch, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	if p.down {
+		return nil, errDown
+	}
+	if after > 0 && p.gone {
+		p.gone = false
+		return nil, yuccahinge.ErrHistoryGone
+	}
+	return p.whole(), nil
+}
+
+func (p *platform) List(context.Context) (*yuccahinge.Batch, error) { return p.read(0) }
+
+func (p *platform) Changes(_ context.Context, after yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
+	time.Sleep((wait / 10).Duration())
+	return p.read(after)
+}
+
+// others are the other hosts.
+type others struct{ *platform }
+
+func (o others) Reads() bool { return o.reads }
+
+func (o others) List(ctx context.Context) (*yuccahinge.Batch, error) { return o.Changes(ctx, 0, 0) }
+
+func (o others) Changes(_ context.Context, _ yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
+	time.Sleep((wait / 10).Duration())
+	return o.Any(context.Background(), 0)
+}
+
+func (o others) Any(context.Context, yuccahinge.Revision) (*yuccahinge.Batch, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.peers {
+		return nil, errors.New("no host has a list")
+	}
+	return o.whole(), nil
+}
+
+func (o others) Keep(yuccahinge.Revision, bool, bool, func(yuccahinge.Revision) *yuccahinge.Batch) {}
+
+func (o others) Do(f func()) { f() }
+
+// follow runs a feed until the test's steps are over and returns how it lists the searchers at any time.
+func follow(t *testing.T, p *platform, steps func(listed func() string)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		var now []string
+		f := &Feed{Publisher: p, Peers: others{p}, Clock: clock.Clock{}, Changed: func(s map[yuccahinge.ServiceName][]*yuccahinge.Listing) {
+			mu.Lock()
+			defer mu.Unlock()
+			now = nil
+			for _, l := range s["s"] {
+				now = append(now, string(l.ID))
+			}
+			slices.Sort(now)
+		}}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error)
+		go func() { ended <- f.Run(ctx) }()
+		steps(func() string {
+			mu.Lock()
+			defer mu.Unlock()
+			return fmt.Sprint(now)
+		})
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func want(t *testing.T, listed func() string, text string) {
+	t.Helper()
+	if got := listed(); got != text {
+		t.Errorf("listed are %s, want %s", got, text)
+	}
+}
+
+func TestChangesArriveAndHistoryIsReadAnew(t *testing.T) {
+	p := &platform{reads: true, revision: 1, ids: []string{"a"}}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(time.Second)
+		want(t, listed, "[a]")
+		p.set(func() { p.ids = []string{"a", "b"} })
+		time.Sleep(time.Second)
+		want(t, listed, "[a b]")
+		p.set(func() { p.ids, p.gone = []string{"b"}, true })
+		time.Sleep(time.Second)
+		want(t, listed, "[b]")
+	})
+}
+
+func TestListComesFromPeersWhileThePlatformIsAway(t *testing.T) {
+	p := &platform{reads: true, peers: true, revision: 1, ids: []string{"a"}}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(time.Second)
+		p.set(func() { p.down, p.ids = true, []string{"c"} })
+		time.Sleep(2 * time.Second)
+		want(t, listed, "[c]")
+		p.set(func() { p.peers = false })
+		time.Sleep(2 * time.Second)
+		want(t, listed, "[c]")
+	})
+}
+
+// TestLapsedSearchersStayForTheirGrace plays an outage in which all entries lapse, as seen by a host without peers.
+func TestLapsedSearchersStayForTheirGrace(t *testing.T) {
+	p := &platform{reads: true, revision: 1, ids: []string{"a", "b"}}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(time.Second)
+		p.set(func() { p.down = true })
+		time.Sleep(3 * time.Second)
+		p.set(func() { p.down, p.ids = false, nil })
+		time.Sleep(1500 * time.Millisecond)
+		want(t, listed, "[a b]")
+		time.Sleep(3 * time.Second)
+		want(t, listed, "[]")
+	})
+}
+
+func TestFollowerReadsThePlatformOnlyWhenItsReadersFail(t *testing.T) {
+	p := &platform{peers: true, revision: 1, ids: []string{"a"}}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(10 * time.Second)
+		p.set(func() {
+			if p.calls != 1 {
+				t.Errorf("%d calls to the platform beside readers that answer", p.calls)
+			}
+		})
+		p.set(func() { p.peers, p.ids = false, []string{"d"} })
+		time.Sleep(2 * time.Second)
+		want(t, listed, "[d]")
+	})
+}
--- /dev/null
+++ b/internal/state/relay/relay_test.go
@@ -0,0 +1,157 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/census"
+	"github.com/yuccahinge/yuccahinge/clock"
+)
+
+// hosts are relays that call each other within the process. It is their roster as well.
+type hosts struct {
+	relays  map[string]*Relay
+	members []yuccahinge.Member
+	cut     map[string]bool
+}
+
+func newHosts(n int) *hosts {
+	h := &hosts{relays: make(map[string]*Relay), cut: make(map[string]bool)}
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		h.relays[id] = &Relay{Self: yuccahinge.HostID(id), Peers: h, Roster: h, Clock: clock.Clock{}}
+		h.members = append(h.members, yuccahinge.Member{ID: id, PeerAddr: id, Status: yuccahinge.StatusLive})
+	}
+	return h
+}
+
+func (h *hosts) Members() []yuccahinge.Member { return h.members }
+
+func (h *hosts) Find(id yuccahinge.HostID) (yuccahinge.Member, bool) {
+	return yuccahinge.Member{ID: string(id), PeerAddr: string(id)}, true
+}
+
+func (h *hosts) Call(ctx context.Context, addr string, _ yuccahinge.PeerMethod, in, out any) error {
+	if h.cut[addr] {
+		return errors.New("unreachable")
+	}
+	v, err := h.relays[addr].answer(ctx, in.(*request))
+	if err != nil {
+		return err
+	}
+	*out.(*yuccahinge.Batch) = *v.(*yuccahinge.Batch)
+	return nil
+}
+
+// readers returns the ids of the hosts that read the platform.
+func (h *hosts) readers() []string {
+	var out []string
+	for _, m := range h.members {
+		if h.relays[m.ID].Reads() {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+func list(c *census.Census, r yuccahinge.Revision, id string) {
+	c.Apply(0, &yuccahinge.Batch{Revision: r, Changes: []yuccahinge.Change{
+		{Key: id, Revision: r, Listing: &yuccahinge.Listing{ID: yuccahinge.SearcherID(id)}},
+	}})
+}
+
+func TestFewHostsRead(t *testing.T) {
+	for hosts, want := range map[int]int{1: 1, 2: 2, 7: 2, 59: 4, 86: 6} {
+		if got := len(newHosts(hosts).readers()); got != want {
+			t.Errorf("%d of %d hosts read, want %d", got, hosts, want)
+		}
+	}
+}
+
+func TestChangeArrivesAtOnceAndSilenceEndsTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(5)
+		var c census.Census
+		list(&c, 4, "a")
+		for _, id := range h.readers() {
+			h.relays[id].Keep(c.Revision(), true, true, c.Since)
+		}
+		var follower *Relay
+		for _, r := range h.relays {
+			if !r.Reads() {
+				follower = r
+			}
+		}
+		b, err := follower.Changes(t.Context(), 0, 0)
+		if err != nil || b.Revision != 4 || len(b.Changes) != 1 {
+			t.Fatalf("%+v, %v", b, err)
+		}
+		start := time.Now()
+		if b, err = follower.Changes(t.Context(), 4, 1000); err != nil || len(b.Changes) != 0 || time.Since(start) != time.Second {
+			t.Fatalf("%+v, %v after %v", b, err, time.Since(start))
+		}
+		time.AfterFunc(300*time.Millisecond, func() {
+			list(&c, 9, "b")
+			for _, id := range h.readers() {
+				h.relays[id].Keep(c.Revision(), true, true, c.Since)
+			}
+		})
+		start = time.Now()
+		b, err = follower.Changes(t.Context(), 4, 1000)
+		if err != nil || len(b.Changes) != 1 || time.Since(start) != 300*time.Millisecond {
+			t.Fatalf("%+v, %v after %v", b, err, time.Since(start))
+		}
+	})
+}
+
+func TestReaderThatLostThePlatformDoesNotSpeakForIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(4)
+		var c census.Census
+		list(&c, 4, "a")
+		for _, id := range h.readers() {
+			h.relays[id].Keep(c.Revision(), true, true, c.Since)
+		}
+		time.Sleep(3 * time.Second)
+		for id, r := range h.relays {
+			if r.Reads() {
+				continue
+			}
+			if b, err := r.Changes(t.Context(), 0, 0); err == nil {
+				t.Errorf("%s got %+v from readers that have not read for 3 s", id, b)
+			}
+			if b, err := r.Any(t.Context(), 0); err != nil || b.Revision != 4 {
+				t.Errorf("%s got %+v, %v from any host", id, b, err)
+			}
+		}
+	})
+}
+
+func TestOtherReaderIsAskedWhenOneIsGone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(4)
+		var c census.Census
+		list(&c, 4, "a")
+		readers := h.readers()
+		for _, id := range readers {
+			h.relays[id].Keep(c.Revision(), true, true, c.Since)
+		}
+		h.cut[readers[0]] = true
+		for _, r := range h.relays {
+			if r.Reads() {
+				continue
+			}
+			for range 3 {
+				if b, err := r.Changes(t.Context(), 0, 0); err != nil || b.Revision != 4 {
+					t.Errorf("%+v, %v", b, err)
+				}
+			}
+		}
+	})
+}
--- a/member.go
+++ b/member.go
@@ -30,4 +30,8 @@
 	CallerAddr  string       `json:"callerAddr,omitempty"`
 	PeerAddr    string       `json:"peerAddr,omitempty"`
 	AdminAddr   string       `json:"adminAddr,omitempty"`
+	// Cores is the processor time that the host may use, in cores, and LinkMbps the speed of its link; zero if it does
+	// not tell.
+	Cores    float64 `json:"cores,omitempty"`
+	LinkMbps float64 `json:"linkMbps,omitempty"`
 }
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,73 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+func host(id string, domain yuccahinge.DomainID, cores, mbps float64) yuccahinge.Member {
+	return yuccahinge.Member{ID: id, Domain: domain, Status: yuccahinge.StatusLive, Cores: cores, LinkMbps: mbps}
+}
+
+// fleet is a failure domain with two strong hosts and many weak ones, and strong hosts elsewhere.
+func fleet() []yuccahinge.Member {
+	out := []yuccahinge.Member{
+		host("big1", "a", 0.8, 140), host("big2", "a", 0.8, 140),
+		host("far1", "b", 0.8, 140), host("far2", "b", 0.8, 140),
+	}
+	for i := range 19 {
+		out = append(out, host(fmt.Sprint("small", i), "a", 0.192, 17.5))
+	}
+	return out
+}
+
+func TestWeakHostsHandWideRequestsToStrongOnesNearby(t *testing.T) {
+	p := Place{Self: host("small3", "a", 0.192, 17.5)}
+	used := map[string]int{}
+	for i := range 1000 {
+		m, ok := p.Choose(0, fleet(), 90, fmt.Sprint(i))
+		if !ok {
+			t.Fatal("a weak host asks 90 shards itself")
+		}
+		used[m.ID]++
+	}
+	if len(used) != 2 || used["big1"] < 400 || used["big2"] < 400 {
+		t.Fatalf("requests go to %v", used)
+	}
+	if m, ok := p.Choose(0, fleet(), 1, "k"); ok {
+		t.Fatalf("a request to one searcher is handed to %s", m.ID)
+	}
+}
+
+func TestStrongAndEqualHostsAskThemselves(t *testing.T) {
+	for _, self := range []yuccahinge.Member{host("big1", "a", 0.8, 140), host("x", "c", 0.192, 17.5), host("even", "a", 0, 0)} {
+		p := Place{Self: self}
+		if m, ok := p.Choose(0, fleet(), 90, "k"); ok {
+			t.Errorf("%s hands a request to %s", self.ID, m.ID)
+		}
+	}
+}
+
+func TestHostsThatFailAreLeftOut(t *testing.T) {
+	p := Place{Self: host("small3", "a", 0.192, 17.5)}
+	p.Failed(1000, "big1")
+	for i := range 50 {
+		if m, ok := p.Choose(1100, fleet(), 90, fmt.Sprint(i)); !ok || m.ID != "big2" {
+			t.Fatalf("%+v, %t", m, ok)
+		}
+	}
+	if m, ok := p.Choose(1100, fleet(), 90, "k", "big2"); ok {
+		t.Fatalf("%s is left after one failed and the other was tried", m.ID)
+	}
+	p.Answered("big1")
+	if m, ok := p.Choose(1100, fleet(), 90, "k", "big2"); !ok || m.ID != "big1" {
+		t.Fatalf("%+v, %t after an answer", m, ok)
+	}
+	members := fleet()
+	members[0].Status, members[1].Status = yuccahinge.StatusSuspect, yuccahinge.StatusLeaving
+	if m, ok := p.Choose(9000, members, 90, "k"); ok {
+		t.Fatalf("%s is chosen though no strong host is live", m.ID)
+	}
+}
