Never run a request again that another host has taken

A host that took it may have used up the attempts of any shard, and nobody can tell from outside. The late answer is now awaited, the host is avoided meanwhile, and a request whose answer is lost fails, so that its caller may ask again.

--- a/gather/gather.go
+++ b/gather/gather.go
@@ -52,8 +52,6 @@
 	// AtMostOnce says that the query must not run twice: it is never hedged, and only an attempt that did not run
 	// is repeated.
 	AtMostOnce bool
-	// Repeated says that searchers may have had the query before: first attempts draw on the RetryBudget as well.
-	Repeated bool
 	// KeepFirst leaves a late first attempt be: another hedge goes to the next replica instead of a renewal.
 	KeepFirst bool
 	// SuspectShard is where a suspect query lost a searcher. It is asked first.
--- a/gather/send.go
+++ b/gather/send.go
@@ -36,8 +36,6 @@
 		s := &g.shards[i]
 		switch {
 		case s.settled() || s.open > 0:
-		case s.sent == 0 && g.Repeated && g.RetryBudget != nil && !g.RetryBudget.Take(now, s.spec.Group):
-			g.lack(s, yuccahinge.ReasonCapacity)
 		case s.sent == 0:
 			g.ask(now, i, First)
 		default:
@@ -182,10 +180,10 @@
 
 // earn counts a first attempt and sets the time of its hedge.
 func (g *Gather) earn(now yuccahinge.Millis, s *shard) {
-	if g.RetryBudget != nil && !g.Repeated {
+	if g.RetryBudget != nil {
 		g.RetryBudget.Earn(now, s.spec.Group, 1)
 	}
-	if g.HedgeBudget != nil && g.HedgeBudget != g.RetryBudget && !g.Repeated {
+	if g.HedgeBudget != nil && g.HedgeBudget != g.RetryBudget {
 		g.HedgeBudget.Earn(now, s.spec.Group, 1)
 	}
 	if g.Hedger == nil || g.Suspect || g.AtMostOnce {
--- a/internal/front/assign/assign.go
+++ b/internal/front/assign/assign.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -19,7 +20,7 @@
 const (
 	// backMs is what the answer's way back from the other host and its decoding here take, in milliseconds.
 	backMs yuccahinge.Millis = 4
-	// silentMs is how long after the answer was due a host counts as silent.
+	// silentMs is how long after the answer was due a host counts as silent, so that others are chosen.
 	silentMs yuccahinge.Millis = 25
 	// mostHelpers bounds the hosts that are tried for one request. Each but the last has refused it.
 	mostHelpers = 2
@@ -55,38 +56,29 @@
 			break
 		}
 		answer, err := a.hand(ctx, f, &m)
-		switch {
-		case err == nil:
-			return answer, nil
-		case errors.Is(err, errNotTaken):
-			tried = append(tried, yuccahinge.HostID(m.ID))
-			continue
-		case !errors.Is(err, errSilent) || ctx.Err() != nil:
-			return nil, err
+		if !errors.Is(err, errNotTaken) {
+			return answer, err
 		}
-		// The other host may have asked the searchers: asking them once more draws on the budget.
-		f.Repeated = true
-		break
+		tried = append(tried, yuccahinge.HostID(m.ID))
 	}
 	return a.Engine.Forward(ctx, f)
 }
 
-var (
-	// errNotTaken marks that the other host did not run the request.
-	errNotTaken = errors.New("the host did not take the request")
-	// errSilent marks that the other host gave no answer.
-	errSilent = errors.New("the host gave no answer")
-)
+// errNotTaken marks that the other host did not run the request.
+var errNotTaken = errors.New("the host did not take the request")
 
-// hand has another host run a request. The error is marked with errNotTaken or errSilent unless it is the answer.
+// hand has another host run a request. A host that took it and gives no answer may have used up the attempts that the
+// request has at each shard, so that nobody runs it again; its caller may.
 func (a *Assign) hand(ctx context.Context, f *query.Forward, m *yuccahinge.Member) (*query.Forwarded, error) {
 	now := a.Clock.Now()
 	due := a.Engine.AnswerBy(f)
-	call, cancel := context.WithTimeout(ctx, (max(due, now) + silentMs - now).Duration())
+	id := yuccahinge.HostID(m.ID)
+	late := time.AfterFunc((max(due, now) + silentMs - now).Duration(), func() { a.Place.Failed(a.Clock.Now(), id) })
+	defer late.Stop()
+	call, cancel := context.WithTimeout(ctx, (f.Deadline - now).Duration())
 	defer cancel()
 	var reply Reply
 	err := a.Peers.Call(call, m.PeerAddr, Method, ask(f, now, due-backMs), &reply)
-	id := yuccahinge.HostID(m.ID)
 	switch {
 	case err == nil:
 		a.Place.Answered(id)
@@ -102,7 +94,11 @@
 	if peer.NeverSent(err) {
 		return nil, errors.Mark(err, errNotTaken)
 	}
-	return nil, errors.Mark(err, errSilent)
+	code := yuccahinge.CodeUnavailable
+	if call.Err() != nil {
+		code = yuccahinge.CodeDeadline
+	}
+	return nil, &yuccahinge.Error{Code: code, Step: yuccahinge.StepForward, Peer: m.ID, Message: "the host that ran the request gave no answer", Err: err}
 }
 
 // Register hands the peer method to a server.
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -38,8 +38,6 @@
 	AnswerBy yuccahinge.Millis
 	// Deadline is when the caller stops waiting.
 	Deadline yuccahinge.Millis
-	// Repeated says that another host may have sent the request to the searchers already.
-	Repeated bool
 }
 
 // Forwarded is the answer to a Forward.
@@ -138,7 +136,6 @@
 	g.AtMostOnce = f.Route.Repeat != yuccahinge.Idempotent
 	g.KeepFirst = true
 	g.Proven = true
-	g.Repeated = f.Repeated
 	g.LeastCoverage = f.Route.LeastShare
 	if f.Route.Scattered() {
 		g.EnoughCoverage = f.Route.LeastShare
