Judge a failure domain by the calls since its last reply

Calls that had hung at dark searchers since before the last reply counted, while no new request came. Test: TestCallsThatHangAtDeadSearchersCutNothingOff failed before.

--- a/route/domain.go
+++ b/route/domain.go
@@ -19,44 +19,34 @@
 
 // domain is what this host knows of its path to one failure domain.
 type domain struct {
-	inFlight atomic.Int64
-	asked    number // instant of the oldest start since the last reply; zero when nothing waits for one
+	sent     atomic.Int64 // calls started since the last reply
+	asked    number       // instant of the first of them
 	failures atomic.Int64
 	cut      atomic.Bool
 }
 
 func (d *domain) started(now yuccahinge.Millis) {
-	d.inFlight.Add(1)
-	if d.asked.load() == 0 {
+	if d.sent.Add(1) == 1 {
 		d.asked.store(float64(now))
 	}
 }
 
 // ended counts a call that has ended. Only a reply shows that the path works.
-func (d *domain) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
-	left := d.inFlight.Add(-1)
+func (d *domain) ended(r *yuccahinge.ShardResult) {
 	switch {
 	case r.Reply != nil || r.Failure != nil:
-		d.replied(now)
-		return
+		d.replied()
 	case r.Reason == yuccahinge.ReasonLost, r.Reason == yuccahinge.ReasonUnreachable, r.Reason == yuccahinge.ReasonTimeout:
 		if d.failures.Add(1) >= cutFailures {
 			d.cut.Store(true)
 		}
 	}
-	if left <= 0 {
-		d.asked.store(0)
-	}
 }
 
-func (d *domain) replied(now yuccahinge.Millis) {
+func (d *domain) replied() {
+	d.sent.Store(0)
 	d.failures.Store(0)
 	d.cut.Store(false)
-	if d.inFlight.Load() > 0 {
-		d.asked.store(float64(now))
-		return
-	}
-	d.asked.store(0)
 }
 
 // isCut reports whether the domain seems to be cut off. It stays so until a reply arrives.
@@ -64,8 +54,8 @@
 	if d.cut.Load() {
 		return true
 	}
-	at := d.asked.load()
-	if at == 0 || float64(now)-at < cutSilentMs || d.inFlight.Load() < cutCalls {
+	// Calls from before the last reply may hang at searchers that are gone by themselves.
+	if d.sent.Load() < cutCalls || float64(now)-d.asked.load() < cutSilentMs {
 		return false
 	}
 	d.cut.Store(true)
--- a/route/domain_test.go
+++ b/route/domain_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// TestCallsThatHangAtDeadSearchersCutNothingOff plays the pattern of an incident: calls hang at dark searchers while
+// the others have replied and no new request comes.
+func TestCallsThatHangAtDeadSearchersCutNothingOff(t *testing.T) {
+	r := &Route{Domain: "near", WatchDomains: true}
+	ix := twoDomains(20)
+	startFar(r, 1000, ix)
+	for i := range 8 {
+		res := ran(5, yuccahinge.LoadReport{})
+		r.Ended(1005, ix.Shards[i].Searchers[1], &res)
+	}
+	if got := r.Cut(1350); len(got) != 0 {
+		t.Fatalf("cut off are %v while 12 calls from before the last reply hang", got)
+	}
+}
+
 func TestShardsOfCutDomainsAreOutOfReach(t *testing.T) {
 	r := &Route{Domain: "near", WatchDomains: true}
 	ix := twoDomains(8)
--- a/route/stat.go
+++ b/route/stat.go
@@ -83,7 +83,7 @@
 func (s *stat) ended(now yuccahinge.Millis, r *yuccahinge.ShardResult, maxEject yuccahinge.Millis) {
 	s.inFlight.Add(-1)
 	if d := s.domain.Load(); d != nil {
-		d.ended(now, r)
+		d.ended(r)
 	}
 	if r.Reply != nil {
 		s.report(now, &r.Reply.Load)
@@ -201,7 +201,7 @@
 	}
 	s.replied(now)
 	if d := s.domain.Load(); d != nil {
-		d.replied(now)
+		d.replied()
 	}
 	if old := s.life.Load(); old == nil || *old != l.Incarnation {
 		if old != nil {
