Ask seeds again, and choose searchers by the share of calls that fail

Seeds are now asked at every exchange while no host is known, and at each seventh later.

The picker now adds the share of failed calls at the cost of a retry.

Tests: TestHostsThatStartTogetherMeetLater and TestSearchersThatRefusePartOfTheirCallsAreAvoided failed before. The cost is off for the product's own front: its random runs keep their course.

--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -18,6 +18,8 @@
 	// ratioShare is the part of the extra ratio that hosts use. Requests that a searcher never saw count for the hosts
 	// but perhaps not for the searchers' operators.
 	ratioShare = 0.9
+	// errorCostMs is what a refused or failed call costs a request: about the time of a whole retry with its connection.
+	errorCostMs yuccahinge.Millis = 60
 	// headerTimeout and callerIdle are above what the routing allows callers, so that no proper one is cut off.
 	headerTimeout = 30 * time.Second
 	callerIdle    = 10 * time.Minute
@@ -105,6 +107,7 @@
 	p.route.Seed = g.seed()
 	p.route.WatchDomains = true
 	p.route.MaxEjectMs = maxEjectMs
+	p.route.ErrorCostMs = errorCostMs
 	p.quota.Ratio = ratioShare * s.ExtraRatio
 	p.quota.Slack = g.slack
 	p.quota.WindowMs = s.ExtraWindowMs
--- a/internal/state/keeper/exchange.go
+++ b/internal/state/keeper/exchange.go
@@ -18,6 +18,9 @@
 	compareEvery = 5 * yuccahinge.Second
 	// catchUpEvery is the least time between two requests for all notices.
 	catchUpEvery = 1 * yuccahinge.Second
+	// seedEvery is the number of periods between two comparisons with a seed. It is no multiple of the number of
+	// seeds, so that all have their turn.
+	seedEvery = 7
 	// compareRows bounds the rows of one comparison.
 	compareRows = 4096
 	// comparePause is the wait before the next comparison for each row that one moved, so that a cut which
@@ -27,7 +30,8 @@
 
 // exchanges talks to a few peers every period.
 func (k *Keeper) exchanges(ctx context.Context) error {
-	for k.sleep(ctx, k.period()) {
+	for turn := 0; k.sleep(ctx, k.period()); turn++ {
+		k.askSeed(ctx, turn)
 		now := k.Clock.Now()
 		k.mu.Lock()
 		k.recordChanges(k.roster.Tick(now))
@@ -42,6 +46,25 @@
 	return nil
 }
 
+// askSeed compares rosters with a seed: at every turn while no other host is known, since the seeds may have been down
+// when this host started, and now and then later, so that groups of hosts which know nothing of each other meet.
+func (k *Keeper) askSeed(ctx context.Context, turn int) {
+	if len(k.Seeds) == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if len(k.roster.Members()) > 1 && turn%seedEvery != 0 {
+		return
+	}
+	addr := k.Seeds[turn%len(k.Seeds)]
+	if addr == k.Self.PeerAddr {
+		return
+	}
+	// A seed that is gone tells nothing; the next turn asks another one.
+	k.start(func() { _ = k.compare(ctx, yuccahinge.Member{PeerAddr: addr}, true, false) })
+}
+
 // start runs f in the group unless too many calls run already; what is left out is made up for by the next
 // exchanges. The caller holds the lock.
 func (k *Keeper) start(f func()) {
--- a/internal/state/keeper/join_test.go
+++ b/internal/state/keeper/join_test.go
@@ -46,3 +46,33 @@
 		wait.Wait()
 	})
 }
+
+// TestHostsThatStartTogetherMeetLater starts hosts while each other's seeds can't be reached yet, as after a loss of
+// power of all: the platform makes each ready by itself.
+func TestHostsThatStartTogetherMeetLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t, cut: func(string, string) bool { return true }}
+		f.publish()
+		var wait sync.WaitGroup
+		var hosts []*Keeper
+		for i := range 4 {
+			k := f.add(i, "d0")
+			k.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"}
+			hosts = append(hosts, k)
+			run(ctx, &wait, k)
+		}
+		time.Sleep(2 * time.Second)
+		f.mu.Lock()
+		f.cut = nil
+		f.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		for i, k := range hosts {
+			if n := len(k.Roster().Members()); n != len(hosts) {
+				t.Errorf("host %d knows %d of %d hosts", i, n, len(hosts))
+			}
+		}
+		cancel()
+		wait.Wait()
+	})
+}
--- /dev/null
+++ b/route/errors_test.go
@@ -0,0 +1,31 @@
+package route
+
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge"
+)
+
+// TestSearchersThatRefusePartOfTheirCallsAreAvoided answers a pattern in which half of the replicas refuse two calls in
+// five while they reply to the others as fast as ever.
+func TestSearchersThatRefusePartOfTheirCallsAreAvoided(t *testing.T) {
+	r := &Route{Domain: "d", ErrorCostMs: 60}
+	now := yuccahinge.Millis(1)
+	calls := 0
+	reply := func(id yuccahinge.SearcherID) yuccahinge.ShardResult {
+		calls++
+		if id == "s0" && calls%5 < 2 {
+			return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonRefused, Reply: &yuccahinge.ShardReply{Outcome: yuccahinge.NotRun}}
+		}
+		return ran(5, yuccahinge.LoadReport{})
+	}
+	ix := index(3)
+	run(r, ix, &now, 60, reply)
+	if picks := run(r, ix, &now, 1000, reply); picks["s0"] > 100 {
+		t.Fatalf("picks are %v", picks)
+	}
+	now += 20_000
+	if picks := run(r, ix, &now, 30, func(yuccahinge.SearcherID) yuccahinge.ShardResult { return ran(5, yuccahinge.LoadReport{}) }); picks["s0"] == 0 {
+		t.Fatal("the searcher is never tried again")
+	}
+}
--- a/route/route.go
+++ b/route/route.go
@@ -24,6 +24,9 @@
 	// Nil trusts every searcher.
 	Holds func(id yuccahinge.SearcherID, v yuccahinge.IndexVersion) (holds, known bool)
 
+	// ErrorCostMs is what a call that fails or is refused costs: the time until another searcher has replied. Zero
+	// leaves the share of such calls out of the choice.
+	ErrorCostMs yuccahinge.Millis
 	// WatchDomains keeps calls away from failure domains that seem to be cut off. Report must then be told of
 	// probes of their searchers, since nothing else brings a domain back.
 	WatchDomains bool
@@ -126,6 +129,9 @@
 			continue
 		}
 		c := candidate{id: id, wait: st.wait(now, s), local: s.Domain == r.Domain, ejected: st.ejected(now), stat: st}
+		if r.ErrorCostMs > 0 {
+			c.wait += float64(r.ErrorCostMs) * st.errorShare(now)
+		}
 		if !c.local {
 			c.wait += float64(r.cross())
 		}
--- a/route/stat.go
+++ b/route/stat.go
@@ -39,6 +39,10 @@
 	silentFactor = 3.0
 	// lateFactor is the multiple of the expected latency from which a canceled call counts as a failure.
 	lateFactor = 1.5
+	// errorWeight is the weight of a new call in the share of calls that failed.
+	errorWeight = 0.15
+	// fewErrors is the share below which errors are forgotten, so that a searcher is tried again.
+	fewErrors = 0.02
 	// recoverMs is the time in which a bad estimate of an unused searcher halves, so that it is tried again.
 	recoverMs = 2000.0
 )
@@ -61,6 +65,10 @@
 	hintQueue number // work of others that the report shows, in calls
 	distrust  number // how little reports are believed, 0 to 1
 
+	// errors is the share of calls that failed or were refused, at the instant errorsAt.
+	errors   number
+	errorsAt number
+
 	failures   atomic.Int64
 	ejections  atomic.Int64
 	ejectUntil number
@@ -89,6 +97,7 @@
 		s.report(now, &r.Reply.Load)
 		s.replied(now)
 	}
+	s.count(now, r)
 	switch {
 	case r.Outcome == yuccahinge.Ran:
 		s.succeed(now, float64(r.Latency))
@@ -102,6 +111,34 @@
 	}
 }
 
+// count learns the share of calls that fail. One that was given up or never left this host says nothing.
+func (s *stat) count(now yuccahinge.Millis, r *yuccahinge.ShardResult) {
+	failed := 0.0
+	switch {
+	case r.Outcome == yuccahinge.Ran:
+	case r.Reason == yuccahinge.ReasonCanceled, r.Reason == yuccahinge.ReasonShed:
+		return
+	default:
+		failed = 1
+	}
+	old := s.errorShare(now)
+	s.errors.store(old + errorWeight*(failed-old))
+	s.errorsAt.store(float64(now))
+}
+
+// errorShare returns the share of calls that fail, which is forgotten while no call is made.
+func (s *stat) errorShare(now yuccahinge.Millis) float64 {
+	share := s.errors.load()
+	if share == 0 {
+		return 0
+	}
+	share *= math.Exp2(-max(0, float64(now)-s.errorsAt.load()) / recoverMs)
+	if share < fewErrors {
+		return 0
+	}
+	return share
+}
+
 // replied ends the silence. Calls that are still in flight may be younger than now says, never older
 // than the reply.
 func (s *stat) replied(now yuccahinge.Millis) {
@@ -257,7 +294,7 @@
 	slots := float64(max(to.Slots, 1))
 	inFlight := float64(s.inFlight.Load())
 	queue := (inFlight + s.hint(now)) / slots
-	return s.estimate(now, inFlight) * (1 + queue) * s.cold(now)
+	return s.estimate(now, inFlight)*(1+queue)*s.cold(now)
 }
 
 // estimate returns the latency estimate, raised by silence and lowered by rest.
