--- a/internal/front/assign/assign.go
+++ b/internal/front/assign/assign.go
@@ -14,12 +14,19 @@
 	"github.com/yuccahinge/yuccahinge/place"
 )
 
-// Method is the peer method that runs a scattered request for another host.
-const Method yuccahinge.PeerMethod = "scatter"
+// The peer methods.
+const (
+	// Method runs a scattered request for another host.
+	Method yuccahinge.PeerMethod = "scatter"
+	// MethodReach tells whether a host reaches the searchers of what it is asked for.
+	MethodReach yuccahinge.PeerMethod = "reach"
+)
 
 const (
 	// backMs is what the answer's way back from the other host and its decoding here take, in milliseconds.
 	backMs yuccahinge.Millis = 4
+	// reachMs bounds the question whether another host reaches the searchers.
+	reachMs yuccahinge.Millis = 400
 	// silentMs is how long after the answer was due a host counts as silent, so that others are chosen.
 	silentMs yuccahinge.Millis = 25
 	// mostHelpers bounds the hosts that are tried for one request. Each but the last has refused it.
@@ -42,6 +49,8 @@
 	// Index returns the index with a key, or nil if this host does not know its services.
 	Index    func(key uint64) *yuccahinge.Index
 	Recorder yuccahinge.Recorder
+	// Serves reports whether this host reaches the searchers of what it is asked for.
+	Serves func() bool
 }
 
 // Forward answers a request as query.Engine does.
@@ -110,6 +119,31 @@
 		}
 		return a.run(ctx, &r)
 	})
+	handle(MethodReach, func(context.Context, func(any) error) (any, error) {
+		return &reach{Serves: a.Serves()}, nil
+	})
+}
+
+// reach is the answer to MethodReach.
+type reach struct {
+	Serves bool `json:"serves"`
+}
+
+// HelperServes reports whether the host that runs requests over so many shards for this one reaches the searchers. It
+// is not known if this host runs them itself, or if the other one gives no answer.
+func (a *Assign) HelperServes(ctx context.Context, shards int) (serves, known bool) {
+	m, ok := a.Place.Choose(a.Clock.Now(), a.Roster.Members(), shards, string(a.Place.Self.ID))
+	if !ok {
+		return false, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reachMs.Duration())
+	defer cancel()
+	var out reach
+	if err := a.Peers.Call(ctx, m.PeerAddr, MethodReach, struct{}{}, &out); err != nil {
+		a.Place.Failed(a.Clock.Now(), yuccahinge.HostID(m.ID))
+		return false, false
+	}
+	return out.Serves, true
 }
 
 // run runs a request for another host.
--- a/internal/front/assign/assign_test.go
+++ b/internal/front/assign/assign_test.go
@@ -45,11 +45,15 @@
 
 func (n *network) Record(yuccahinge.Event) {}
 
-func (n *network) Call(ctx context.Context, addr string, _ yuccahinge.PeerMethod, in, out any) error {
+func (n *network) Call(ctx context.Context, addr string, method yuccahinge.PeerMethod, in, out any) error {
 	n.calls = append(n.calls, addr)
 	if err := n.fail(addr); err != nil {
 		return err
 	}
+	if method == MethodReach {
+		*out.(*reach) = reach{Serves: n.hosts[addr].Serves()}
+		return nil
+	}
 	v, err := n.hosts[addr].run(ctx, in.(*Request))
 	if err != nil {
 		return err
@@ -178,3 +182,26 @@
 		t.Fatalf("got %+v, want %+v", e, refusal)
 	}
 }
+
+func TestWeakHostFollowsTheReachOfItsHelper(t *testing.T) {
+	n := newNetwork()
+	serves := true
+	for _, h := range n.hosts {
+		h.Serves = func() bool { return serves }
+	}
+	weak := n.hosts["weak"]
+	if got, known := weak.HelperServes(t.Context(), 90); !got || !known {
+		t.Errorf("serves %t, known %t", got, known)
+	}
+	serves = false
+	if got, known := weak.HelperServes(t.Context(), 90); got || !known {
+		t.Errorf("serves %t, known %t after the helper was cut off", got, known)
+	}
+	if _, known := n.hosts["strong1"].HelperServes(t.Context(), 90); known {
+		t.Error("a strong host follows another one")
+	}
+	n.fail = func(string) error { return errors.New("unreachable") }
+	if _, known := weak.HelperServes(t.Context(), 90); known {
+		t.Error("the reach of an unreachable helper is known")
+	}
+}
--- a/internal/host/gate/probe.go
+++ b/internal/host/gate/probe.go
@@ -12,6 +12,8 @@
 const (
 	// probeEvery is the time between two looks at what is cut off or kept out.
 	probeEvery = 250 * time.Millisecond
+	// askHelperEvery is the number of looks between two judgements whether this host serves.
+	askHelperEvery = 2
 	// probeMs bounds a probe, which takes a few milliseconds while the path works.
 	probeMs = 400 * yuccahinge.Millis(1)
 	// probesAtOnce bounds the probes of one look.
@@ -39,7 +41,9 @@
 		}
 		g.recordCuts(cut, next)
 		cut = next
-		g.unserving.Store(!g.serves(now))
+		if turn%askHelperEvery == 0 {
+			g.unserving.Store(!g.servesOrHelper(ctx, now))
+		}
 		g.probe(ctx, now, cut, turn)
 		select {
 		case <-t.C:
@@ -62,6 +66,20 @@
 	}
 }
 
+// servesOrHelper asks the host that runs the wide requests of this one, which learns of the searchers by them.
+func (g *Gate) servesOrHelper(ctx context.Context, now yuccahinge.Millis) bool {
+	widest := 0
+	if plan := g.Plan(); plan != nil {
+		for _, ix := range plan.Indexes {
+			widest = max(widest, len(ix.Shards))
+		}
+	}
+	if serves, known := g.parts.assign.HelperServes(ctx, widest); known {
+		return serves
+	}
+	return g.serves(now)
+}
+
 // serves reports whether this host can answer what it is asked for as well as others. What no host can reach is no reason to
 // send callers elsewhere, so that it always does while no failure domain is cut off.
 func (g *Gate) serves(now yuccahinge.Millis) bool {
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -147,6 +147,7 @@
 		}
 		return nil
 	}
+	a.Serves = func() bool { return !g.unserving.Load() }
 	a.Register(p.peers.Handle)
 }
 
