--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -62,7 +62,9 @@
 	prober   prober
 	// unserving says that callers are better served by hosts of other failure domains.
 	unserving atomic.Bool
-	asked     chart.Demand // of the goroutine that watches the reach
+	// isStrong says that this host asks the searchers of wide requests, for weak hosts too.
+	isStrong atomic.Bool
+	asked    chart.Demand // of the goroutine that watches the reach
 }
 
 // Listen binds the ports. On an error nothing stays bound, and the error names the setting.
--- a/internal/host/gate/parts.go
+++ b/internal/host/gate/parts.go
@@ -40,6 +40,8 @@
 	hedge  hedge.Hedge
 	quota  quota.Quota
 	share  share.Share
+	// strong counts the hosts that ask the searchers of wide requests.
+	strong share.Share
 
 	callers *http.Server
 	ready   *http.Server
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -52,7 +52,11 @@
 	defer t.Stop()
 	ready := false
 	for {
-		g.parts.share.Observe(g.clock.Now(), len(g.parts.keeper.Roster().Members()))
+		members := g.parts.keeper.Roster().Members()
+		g.parts.share.Observe(g.clock.Now(), len(members))
+		strong, self := g.parts.place.Strong(members)
+		g.parts.strong.Observe(g.clock.Now(), strong)
+		g.isStrong.Store(self)
 		if ok, why := g.ready(); ok != ready {
 			ready = ok
 			g.recordReady(ok, why)
@@ -78,11 +82,22 @@
 	return g.parts.share.Limit(g.clock.Now(), s.Connections)
 }
 
-// slack returns this host's share of the extra attempts that need no request. It is none until the other hosts are
-// known, since a host that has just started forgets what it has sent.
-func (g *Gate) slack() float64 {
+// slack returns this host's share of the extra attempts at a service that need no request. It is none until the other
+// hosts are known, since a host that has just started forgets what it has sent. The strong hosts send most of what goes
+// to shards, and share most of it.
+func (g *Gate) slack(group yuccahinge.ServiceName) float64 {
 	if g.clock.Now() < g.started+settleMs {
 		return 0
 	}
-	return slackShare * g.Settings.Forward.ExtraSlack / float64(g.parts.share.Hosts())
+	all := g.Settings.Forward.ExtraSlack
+	hosts := g.parts.share.Hosts()
+	strong := g.parts.strong.Hosts()
+	plan := g.Plan()
+	if plan == nil || !plan.IsShard(group) || strong >= hosts {
+		return slackShare * all / float64(hosts)
+	}
+	if g.isStrong.Load() {
+		return strongShare * all / float64(strong)
+	}
+	return (slackShare - strongShare) * all / float64(hosts-strong)
 }
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -12,9 +12,13 @@
 const (
 	// settleMs is the time in which a host that has started learns of the others.
 	settleMs = 5 * yuccahinge.Second
+	// hostsSettleMs is how long hosts that can't be heard are still counted: in a cut, what each side sends adds up.
+	hostsSettleMs = 30 * yuccahinge.Second
 	// slackShare is the part of the slack that hosts give out among themselves; the rest is for hosts that the others
 	// have not heard of yet.
 	slackShare = 0.75
+	// strongShare is the part that goes to the strong hosts where there are weak ones, for services that are shards.
+	strongShare = 0.65
 	// ratioShare is the part of the extra ratio that hosts use. Requests that a searcher never saw count for the hosts
 	// but perhaps not for the searchers' operators.
 	ratioShare = 0.9
@@ -110,6 +114,8 @@
 	p.route.ErrorCostMs = errorCostMs
 	p.quota.Ratio = ratioShare * s.ExtraRatio
 	p.quota.Slack = g.slack
+	p.share.SettleMs = hostsSettleMs
+	p.strong.SettleMs = hostsSettleMs
 	p.quota.WindowMs = s.ExtraWindowMs
 	e := &p.engine
 	client := g.Outside.Caller(&p.conns, g.connections, g.clock)
--- a/internal/state/chart/chart.go
+++ b/internal/state/chart/chart.go
@@ -47,10 +47,13 @@
 		return
 	}
 	b := builder{routing: c.routing, services: c.services, indexes: make(map[string]*yuccahinge.Index)}
-	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry), byKey: make(map[uint64]*yuccahinge.Index)}
+	p := &Plan{Routing: c.routing, hosts: make(map[string][]*Entry), byKey: make(map[uint64]*yuccahinge.Index), shards: make(map[yuccahinge.ServiceName]bool)}
 	for _, r := range c.routing.Routes {
 		host := Host(r.Host)
 		e := b.entry(r, c.turn(r.Name))
+		for _, name := range r.Shards {
+			p.shards[name] = true
+		}
 		p.Entries = append(p.Entries, e)
 		p.hosts[host] = append(p.hosts[host], e)
 	}
--- a/internal/state/chart/plan.go
+++ b/internal/state/chart/plan.go
@@ -18,6 +18,8 @@
 
 	hosts map[string][]*Entry // the longest prefix first
 	byKey map[uint64]*yuccahinge.Index
+	// shards holds the services that scattered requests go to.
+	shards map[yuccahinge.ServiceName]bool
 }
 
 // Entry is a route and the searchers that it leads to.
@@ -37,6 +39,9 @@
 // Index returns the index with a key, or nil.
 func (p *Plan) Index(key uint64) *yuccahinge.Index { return p.byKey[key] }
 
+// IsShard reports whether scattered requests go to a service.
+func (p *Plan) IsShard(name yuccahinge.ServiceName) bool { return p.shards[name] }
+
 // Match returns the entry with the longest prefix of the path, or nil. The host is one that Host has returned.
 func (p *Plan) Match(host, path string) *Entry {
 	for _, e := range p.hosts[host] {
--- a/place/place.go
+++ b/place/place.go
@@ -23,6 +23,8 @@
 	hopMs = 3.0
 	// worthMs is the least gain for which a request is handed on, in milliseconds.
 	worthMs = 3.0
+	// alike is the ratio of costs up to which two hosts count as equally strong.
+	alike = 2.0
 	// mostHelpers is the number of the strongest hosts among which requests are spread.
 	mostHelpers = 8
 	// restMs is how long a host that failed is left out the first time; it doubles up to maxRestMs.
@@ -98,7 +100,7 @@
 	byID := make(map[string]yuccahinge.Member)
 	var ids []string
 	for _, m := range helpers {
-		if cost(&m, 1) <= 2*best {
+		if cost(&m, 1) <= alike*best {
 			byID[m.ID] = m
 			ids = append(ids, m.ID)
 		}
@@ -109,6 +111,21 @@
 	return byID[rendez.Order(key, ids)[0]]
 }
 
+// Strong returns the number of hosts that run wide requests for others in a failure domain or may do so, and whether
+// this host is one of them. Where all are alike, all are.
+func (p *Place) Strong(members []yuccahinge.Member) (n int, self bool) {
+	best := cost(&p.Self, 1)
+	for i := range members {
+		best = min(best, cost(&members[i], 1))
+	}
+	for i := range members {
+		if cost(&members[i], 1) <= alike*best {
+			n++
+		}
+	}
+	return max(n, 1), cost(&p.Self, 1) <= alike*best
+}
+
 // Failed notes that a host did not answer, so that it is left out for a while.
 func (p *Place) Failed(now yuccahinge.Millis, id yuccahinge.HostID) {
 	p.mu.Lock()
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -71,3 +71,22 @@
 		t.Fatalf("%s is chosen though no strong host is live", m.ID)
 	}
 }
+
+func TestStrongHostsAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		self    yuccahinge.Member
+		members []yuccahinge.Member
+		n       int
+		strong  bool
+	}{
+		{host("big1", "a", 0.8, 140), fleet(), 4, true},
+		{host("small3", "a", 0.192, 17.5), fleet(), 4, false},
+		{host("e1", "a", 0.4, 1000), []yuccahinge.Member{host("e1", "a", 0.4, 1000), host("e2", "b", 0.4, 1000)}, 2, true},
+		{host("alone", "a", 0, 0), nil, 1, true},
+	} {
+		p := Place{Self: c.self}
+		if n, strong := p.Strong(c.members); n != c.n || strong != c.strong {
+			t.Errorf("%s: %d strong hosts, itself %t, want %d, %t", c.self.ID, n, strong, c.n, c.strong)
+		}
+	}
+}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -20,8 +20,8 @@
 type Quota struct {
 	// Ratio is the number of extra attempts that one request earns.
 	Ratio float64
-	// Slack returns this host's share of the extra attempts that need no request.
-	Slack func() float64
+	// Slack returns this host's share of the extra attempts at a group that need no request.
+	Slack func(group yuccahinge.ServiceName) float64
 	// WindowMs is the length of the window.
 	WindowMs yuccahinge.Millis
 
@@ -45,7 +45,7 @@
 	defer g.mu.Unlock()
 	current := g.at(now, q.slice())
 	requests, extra := g.sums()
-	if float64(extra+1) > q.Ratio*float64(requests)+q.slack() {
+	if float64(extra+1) > q.Ratio*float64(requests)+q.slack(name) {
 		return false
 	}
 	current.extra++
@@ -59,7 +59,7 @@
 	defer g.mu.Unlock()
 	g.at(now, q.slice())
 	requests, extra := g.sums()
-	return q.Ratio*float64(requests) + q.slack() - float64(extra)
+	return q.Ratio*float64(requests) + q.slack(name) - float64(extra)
 }
 
 func (q *Quota) group(name yuccahinge.ServiceName) *group {
@@ -70,11 +70,11 @@
 	return v.(*group)
 }
 
-func (q *Quota) slack() float64 {
+func (q *Quota) slack(name yuccahinge.ServiceName) float64 {
 	if q.Slack == nil {
 		return 0
 	}
-	return q.Slack()
+	return q.Slack(name)
 }
 
 func (q *Quota) slice() yuccahinge.Millis {
