--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -112,6 +112,7 @@
 	p.route.WatchDomains = true
 	p.route.MaxEjectMs = maxEjectMs
 	p.route.ErrorCostMs = errorCostMs
+	p.route.CrossMs = 9
 	p.quota.Ratio = ratioShare * s.ExtraRatio
 	p.quota.Slack = g.slack
 	p.share.SettleMs = hostsSettleMs
