--- a/internal/host/gate/probe.go
+++ b/internal/host/gate/probe.go
@@ -19,8 +19,9 @@
 	// probesAtOnce bounds the probes of one look.
 	probesAtOnce = 6
 	// servedShare is how much of the worth of its requests a host must be able to bring to stay in the balancer's
-	// rotation. In a cut that spares the other hosts these bring all of it.
-	servedShare = 0.9
+	// rotation. A host that is cut off with some replicas brings less than half of it; one on the other side that lacks
+	// a few shards by chance brings over three quarters, and nobody brings more.
+	servedShare = 0.7
 )
 
 // prober asks searchers how they are.
