--- a/internal/state/chart/demand.go
+++ b/internal/state/chart/demand.go
@@ -9,6 +9,9 @@
 // demandHalfMs is the age at which a request has lost half its weight in a Demand.
 const demandHalfMs = 5 * yuccahinge.Second
 
+// unasked is the weight of a route that nobody has asked for, far under that of one request.
+const unasked = 0.001
+
 // Demand follows which routes the requests of a host ask for. The zero value is ready to use. It is not safe for
 // concurrent use.
 type Demand struct {
@@ -35,14 +38,12 @@
 	d.routes = next
 }
 
-// Mean returns the mean of a value of the routes, each counted by its requests, or one if there were none.
+// Mean returns the mean of a value of the routes, each counted by its requests. A host without requests counts all routes
+// alike.
 func (d *Demand) Mean(entries []*Entry, value func(e *Entry) float64) float64 {
 	all, sum := 0.0, 0.0
 	for _, e := range entries {
-		w := d.routes[e.Route.Name].weight
-		if w == 0 {
-			continue
-		}
+		w := d.routes[e.Route.Name].weight + unasked
 		all += w
 		sum += w * value(e)
 	}
