--- a/internal/host/config/config_test.go
+++ b/internal/host/config/config_test.go
@@ -100,3 +100,18 @@
 		}
 	})
 }
+
+// TestEveryFaultHasALine names the faults of a file at once, unknown fields first.
+func TestEveryFaultHasALine(t *testing.T) {
+	_, err := Decode([]byte(`{"nonsenseField":1,"cluster":"noodle","host":"e1","domain":"addis","callersAddr":"127.0.0.1:8001",
+		"peersAddr":"x","operatorsAddr":"127.0.0.1:8003","platform":["http://127.0.0.1:7000"],"limits":{"maxInFlight":-1}}`))
+	var e *yuccahinge.Error
+	if !errors.As(err, &e) {
+		t.Fatal(err)
+	}
+	lines := strings.Split(e.Message, "\n")
+	if len(lines) != 3 || !strings.HasPrefix(lines[0], "nonsenseField: 1: unknown field") ||
+		!strings.HasPrefix(lines[1], "limits.maxInFlight: -1") || !strings.HasPrefix(lines[2], "peersAddr: ") {
+		t.Fatalf("got %q", lines)
+	}
+}
--- a/internal/host/config/explain.go
+++ b/internal/host/config/explain.go
@@ -18,26 +18,54 @@
 // maxShownValue bounds how much of a wrong value an error repeats, in bytes.
 const maxShownValue = 80
 
-// explain puts a validation error into words that name the field and its value.
+// explain puts a validation error into words, a line for each fault with its field and value. Unknown fields come
+// first: a misspelt name is often why another one is missing.
 func explain(err error, doc any) string {
 	var invalid *jsonschema.ValidationError
 	if !errors.As(err, &invalid) {
 		return err.Error()
 	}
-	for len(invalid.Causes) > 0 {
-		invalid = invalid.Causes[0]
+	var unknowns, others []string
+	for _, leaf := range leaves(invalid) {
+		if k, ok := leaf.ErrorKind.(*kind.AdditionalProperties); ok {
+			for _, name := range slices.Sorted(slices.Values(k.Properties)) {
+				unknowns = append(unknowns, unknown(doc, leaf.InstanceLocation, name))
+			}
+			continue
+		}
+		others = append(others, faults(leaf, doc)...)
+	}
+	slices.Sort(others)
+	return strings.Join(append(unknowns, others...), "\n")
+}
+
+// leaves returns the errors that have no causes of their own.
+func leaves(e *jsonschema.ValidationError) []*jsonschema.ValidationError {
+	if len(e.Causes) == 0 {
+		return []*jsonschema.ValidationError{e}
 	}
-	at := invalid.InstanceLocation
-	switch k := invalid.ErrorKind.(type) {
-	case *kind.AdditionalProperties:
-		return unknown(doc, at, slices.Sorted(slices.Values(k.Properties))[0])
+	var out []*jsonschema.ValidationError
+	for _, cause := range e.Causes {
+		out = append(out, leaves(cause)...)
+	}
+	return out
+}
+
+// faults puts one error into words.
+func faults(e *jsonschema.ValidationError, doc any) []string {
+	at := e.InstanceLocation
+	switch k := e.ErrorKind.(type) {
 	case *kind.Required:
-		return fmt.Sprintf("%s: missing", field(append(at, k.Missing[0])))
+		var out []string
+		for _, name := range k.Missing {
+			out = append(out, fmt.Sprintf("%s: missing", field(append(slices.Clone(at), name))))
+		}
+		return out
 	case *kind.Format:
-		return fmt.Sprintf("%s: %s: %v", field(at), show(lookup(doc, at)), k.Err)
+		return []string{fmt.Sprintf("%s: %s: %v", field(at), show(lookup(doc, at)), k.Err)}
 	}
-	why := invalid.ErrorKind.LocalizedString(message.NewPrinter(language.English))
-	return fmt.Sprintf("%s: %s: %s", field(at), show(lookup(doc, at)), why)
+	why := e.ErrorKind.LocalizedString(message.NewPrinter(language.English))
+	return []string{fmt.Sprintf("%s: %s: %s", field(at), show(lookup(doc, at)), why)}
 }
 
 func unknown(doc any, at []string, name string) string {
