Serve metrics and status on forwarding hosts, and tell the story of a request

yuccahinge explain reads the logs of the hosts and prints what became of a request, with what the same hosts noted in the ten seconds before. The log names the shards that lack a reply, so that lines of single attempts are left out.

--- /dev/null
+++ b/cmd/yuccahinge/explain.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/view/story"
+)
+
+var errRequestMissing = errors.New("name a request and the logs: explain --request ID FILE[,FILE...]")
+
+type explainCommand struct {
+	sub     *flaggy.Subcommand
+	request string
+	files   string
+	json    bool
+}
+
+func (c *explainCommand) attach(p *flaggy.Parser) {
+	c.sub = flaggy.NewSubcommand("explain")
+	c.sub.Description = "tell from the logs of the hosts what became of a request"
+	c.sub.String(&c.request, "", "request", "id of the request")
+	c.sub.AddPositionalValue(&c.files, "files", 1, false, "logs of the hosts, separated by commas")
+	c.sub.Bool(&c.json, "", "json", "print the story as JSON")
+	p.AttachSubcommand(c.sub, 1)
+}
+
+func (c *explainCommand) used() bool { return c.sub.Used }
+
+func (c *explainCommand) run(context.Context) int {
+	if c.request == "" || c.files == "" {
+		return fail(exitUsage, errRequestMissing)
+	}
+	var logs []io.Reader
+	for _, name := range strings.Split(c.files, ",") {
+		f, err := os.Open(name)
+		if err != nil {
+			return fail(exitUsage, err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	s, err := story.Tell(yuccahinge.RequestID(c.request), logs...)
+	if err != nil {
+		return fail(exitFailed, err)
+	}
+	if c.json {
+		printJSON(s)
+	} else {
+		tell(s)
+	}
+	if len(s.Lines) == 0 {
+		return exitUnknown
+	}
+	return exitDone
+}
+
+func tell(s *story.Story) {
+	fmt.Println(s.Sentence)
+	for _, l := range s.Around {
+		fmt.Printf("before  %s\n", describe(l))
+	}
+	for _, l := range s.Lines {
+		fmt.Printf("request %s\n", describe(l))
+	}
+}
+
+func describe(l story.Line) string {
+	const second = 1_000_000 // microseconds
+	text := fmt.Sprintf("%d.%06d %s %s", l.At/second, l.At%second, l.Host, l.Name)
+	for _, part := range []string{l.Service, string(l.Searcher), l.Peer, l.Detail} {
+		if part != "" {
+			text += " " + part
+		}
+	}
+	return text
+}
--- a/cmd/yuccahinge/main.go
+++ b/cmd/yuccahinge/main.go
@@ -46,6 +46,7 @@
 		&statusCommand{},
 		&timelineCommand{},
 		&metricsCommand{},
+		&explainCommand{},
 		&versionCommand{},
 	}
 	for _, c := range commands {
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -66,7 +66,7 @@
 	// FinishHTTP1 leaves needless calls over HTTP/1.1 to finish, which keeps their connections but holds the
 	// searchers' slots.
 	FinishHTTP1 bool
-	// Sparse leaves events of attempts out that went as they should.
+	// Sparse leaves the events of attempts out: the event that ends a request names what lacks a reply.
 	Sparse bool
 	// CallerWayMs is the time that a packet takes to a caller whose connection does not tell.
 	CallerWayMs yuccahinge.Millis
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -216,7 +216,7 @@
 }
 
 func (q *run) recordSend(a *gather.Action) {
-	if q.engine.Recorder == nil || q.engine.Sparse && a.Cause == gather.First {
+	if q.engine.Recorder == nil || q.engine.Sparse {
 		return
 	}
 	shard := a.Shard
@@ -243,13 +243,16 @@
 }
 
 func (q *run) recordEnd(r ended) {
-	if q.engine.Recorder == nil || q.engine.Sparse && r.result.Outcome == yuccahinge.Ran {
+	if q.engine.Recorder == nil {
 		return
 	}
 	code := event.AttemptEnded
 	if r.result.Reason == yuccahinge.ReasonInvalid {
 		code = event.ReplyInvalid
 	}
+	if q.engine.Sparse && code == event.AttemptEnded {
+		return
+	}
 	q.engine.record(yuccahinge.Event{
 		Code:     code,
 		Request:  q.request,
--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -20,6 +20,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/state/chart"
 	"github.com/yuccahinge/yuccahinge/internal/view/logs"
+	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 )
 
 // Outside is what joins a gate to the platform that it runs on.
@@ -54,6 +55,7 @@
 	stamps   hybrid.Clock
 	events   ring
 	logs     logs.Logs
+	meter    meter.Meter
 	ports    ports
 	parts    parts
 	leave    departure
@@ -88,7 +90,10 @@
 
 // Run serves until ctx ends, drains, and returns. An error ends it at once.
 func (g *Gate) Run(ctx context.Context) error {
-	g.wire()
+	if err := g.wire(); err != nil {
+		g.ports.close()
+		return err
+	}
 	// The parts outlive ctx: requests in flight need them until the drain is done.
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/internal/host/gate/parts.go
+++ b/internal/host/gate/parts.go
@@ -43,6 +43,7 @@
 	// strong counts the hosts that ask the searchers of wide requests.
 	strong share.Share
 
-	callers *http.Server
-	ready   *http.Server
+	callers   *http.Server
+	ready     *http.Server
+	operators *http.Server
 }
--- a/internal/host/gate/ports.go
+++ b/internal/host/gate/ports.go
@@ -10,9 +10,10 @@
 
 // ports are the listeners of a gate.
 type ports struct {
-	callers net.Listener
-	ready   net.Listener
-	peers   net.Listener
+	callers   net.Listener
+	ready     net.Listener
+	peers     net.Listener
+	operators net.Listener
 }
 
 func (p *ports) listen(ctx context.Context, s *config.Settings) error {
@@ -24,6 +25,7 @@
 		{"callersAddr", s.CallersAddr, &p.callers},
 		{"forward.readyAddr", s.Forward.ReadyAddr, &p.ready},
 		{"peersAddr", s.PeersAddr, &p.peers},
+		{"operatorsAddr", s.OperatorsAddr, &p.operators},
 	} {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", b.addr)
 		if err != nil {
@@ -41,7 +43,7 @@
 }
 
 func (p *ports) close() {
-	for _, l := range []net.Listener{p.callers, p.ready, p.peers} {
+	for _, l := range []net.Listener{p.callers, p.ready, p.peers, p.operators} {
 		if l != nil {
 			_ = l.Close()
 		}
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -26,6 +26,7 @@
 	group.Go(func() error { return g.watchReach(ctx) })
 	group.Go(func() error { return serveHTTP(ctx, p.callers, g.ports.callers) })
 	group.Go(func() error { return serveHTTP(ctx, p.ready, g.ports.ready) })
+	group.Go(func() error { return serveHTTP(ctx, p.operators, g.ports.operators) })
 	group.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/front/admin"
 	"github.com/yuccahinge/yuccahinge/internal/front/remote"
 )
 
@@ -33,17 +34,20 @@
 )
 
 // wire fills the parts from the settings. It opens no socket and starts no goroutine.
-func (g *Gate) wire() {
+func (g *Gate) wire() error {
 	g.started = g.clock.Now()
-	g.wireEvents()
+	if err := g.wireEvents(); err != nil {
+		return err
+	}
 	g.wirePeers()
 	g.wireState()
 	g.wireSearchers()
 	g.wireAssign()
 	g.wireFronts()
+	return nil
 }
 
-func (g *Gate) wireEvents() {
+func (g *Gate) wireEvents() error {
 	g.events.Host = g.Settings.Host
 	g.events.Clock = g.clock
 	g.events.Stamps = &g.stamps
@@ -51,7 +55,11 @@
 	g.logs.Out = g.Log
 	g.logs.Lines = g.Settings.Forward.LogLines
 	g.logs.Start()
-	g.events.Sink = g.logs.Take
+	g.events.Sink = g.observe
+	if err := g.meter.Start(); err != nil {
+		return err
+	}
+	return g.gauges()
 }
 
 func (g *Gate) wirePeers() {
@@ -161,6 +169,8 @@
 func (g *Gate) wireFronts() {
 	p := &g.parts
 	p.callers = &http.Server{ConnContext: remote.Context, Handler: g.wrap(g.Outside.Front(g)), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	port := &admin.Port{Status: g.status, Confirm: g.confirm, States: &p.keeper, Events: &g.events, Metrics: g.meter.Handler()}
+	p.operators = &http.Server{Handler: port.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 	p.ready = &http.Server{Handler: g.Outside.Ready(g.ready), ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
 }
 
--- a/internal/view/meter/meter.go
+++ b/internal/view/meter/meter.go
@@ -26,6 +26,7 @@
 	source   metric.Meter
 	events   map[yuccahinge.EventCode]*count
 	requests metric.Float64Histogram
+	answers  metric.Float64Histogram
 }
 
 // Start creates the instruments.
@@ -46,10 +47,26 @@
 	m.requests, err = m.source.Float64Histogram("yuccahinge.request.duration",
 		metric.WithUnit("ms"),
 		metric.WithDescription("Time from the arrival of a caller's request to the end of its answer."),
-		metric.WithExplicitBucketBoundaries(1, 2, 5, 10, 20, 50, 100, 200, 320, 500, 1000, 2000, 5000))
+		metric.WithExplicitBucketBoundaries(bounds...))
+	if err != nil {
+		return err
+	}
+	m.answers, err = m.source.Float64Histogram("yuccahinge.forward.duration",
+		metric.WithUnit("ms"),
+		metric.WithDescription("Time from the arrival of a forwarded request to the end of its answer, by route and outcome."),
+		metric.WithExplicitBucketBoundaries(bounds...))
 	return err
 }
 
+// bounds are the upper ends of the buckets of durations in milliseconds.
+var bounds = []float64{1, 2, 5, 10, 20, 50, 100, 200, 320, 500, 1000, 2000, 5000}
+
+// Answer counts the end of a forwarded request.
+func (m *Meter) Answer(route yuccahinge.ServiceName, outcome string, took yuccahinge.Millis) {
+	m.answers.Record(context.Background(), float64(took), metric.WithAttributes(
+		attribute.String("route", string(route)), attribute.String("outcome", outcome)))
+}
+
 // count is the number of events of one code. Requests add to it, so that it takes no lock.
 type count struct {
 	n      atomic.Int64
