Add the fault soak with real processes

storm starts entry hosts as processes and harms them from outside: signals that kill, end, pause and restart, links that are cut one way or both, delayed and reset, searchers that crash, drain, slow down, refuse and fall silent, a platform that refuses and forgets, configurations in between. Callers keep their connections and check signatures, bodies, records, coverage, refusals, single runs, and that no process steps back to an older configuration.

--- /dev/null
+++ b/internal/trial/storm/site.go
@@ -0,0 +1,206 @@
+package storm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/link"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/part"
+	"github.com/yuccahinge/yuccahinge/internal/trial/standin/shelf"
+)
+
+const (
+	// shards is the number of services of the wide route, and generations that of the services which the configurations
+	// give the read route in turn.
+	shards      = 6
+	generations = 3
+	heartbeat   = 400 * time.Millisecond
+	// drainTime is how long a searcher serves after it has said that it is leaving.
+	drainTime = 3 * time.Second
+)
+
+// site is the platform and the searchers, which run in this process.
+type site struct {
+	shelf     shelf.Shelf
+	storeAddr string
+	runs      part.Log
+	version   atomic.Int64
+	ids       atomic.Int64
+
+	mu        sync.Mutex
+	searchers []*searcher
+}
+
+// searcher is one life of a searcher behind a link.
+type searcher struct {
+	part    part.Part
+	domain  string
+	link    link.Link
+	stop    context.CancelFunc
+	leaving atomic.Bool
+	born    int64
+}
+
+func newSite(ctx context.Context) (*site, error) {
+	s := &site{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s.storeAddr = l.Addr().String()
+	server := &http.Server{Handler: s.shelf.Handler()}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }() // it ends with ctx
+	s.publish()
+	for _, name := range services() {
+		for _, domain := range []string{"a", "b"} {
+			if _, err := s.add(ctx, name, domain); err != nil {
+				return nil, err
+			}
+		}
+	}
+	go s.beat(ctx)
+	return s, nil
+}
+
+func services() []string {
+	var out []string
+	for i := range shards {
+		out = append(out, fmt.Sprint("wide", i))
+	}
+	for i := range generations {
+		out = append(out, fmt.Sprint("read", i))
+	}
+	return append(out, "pay")
+}
+
+// publish writes the next configuration, which moves the read route on to the next service.
+func (s *site) publish() {
+	n := s.version.Add(1)
+	route := func(name, kind string, more map[string]any) map[string]any {
+		out := map[string]any{"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000, "slo_ms": 200, "attempts": 2, "priority": 1}
+		for k, v := range more {
+			out[k] = v
+		}
+		return out
+	}
+	var pools []map[string]any
+	for _, name := range services() {
+		pools = append(pools, map[string]any{"name": name, "health_path": "/health", "max_conns": 40})
+	}
+	value, err := json.Marshal(map[string]any{
+		"version": n,
+		"routes": []any{
+			route("wide", "safe", map[string]any{"gather": services()[:shards], "top_k": topRecords, "min_share": 0.5}),
+			route("read", "safe", map[string]any{"service": fmt.Sprint("read", n%generations)}),
+			route("pay", "unsafe", map[string]any{"service": "pay"}),
+		},
+		"services": pools,
+		"limits":   map[string]any{"max_body_bytes": 10000},
+	})
+	if err != nil {
+		panic(err) // the value holds nothing that JSON can't express
+	}
+	s.shelf.Put("op/config", value)
+}
+
+// add starts a searcher.
+func (s *site) add(ctx context.Context, service, domain string) (*searcher, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &searcher{domain: domain, born: time.Now().UnixMilli()}
+	p.part.ID = fmt.Sprint("i-", s.ids.Add(1))
+	p.part.Service, p.part.Slots, p.part.Work, p.part.Log = service, 2, 4*time.Millisecond, &s.runs
+	p.link.ListenAddr, p.link.Target = "127.0.0.1:0", l.Addr().String()
+	if err := p.link.Listen(); err != nil {
+		return nil, err
+	}
+	life, stop := context.WithCancel(ctx)
+	p.stop = stop
+	go p.part.Serve(life, l)
+	go func() { _ = p.link.Run(life) }() // it ends with the life
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.searchers = append(s.searchers, p)
+	s.register(p)
+	return p, nil
+}
+
+func (s *site) register(p *searcher) {
+	state := "ready"
+	if p.leaving.Load() {
+		state = "draining"
+	}
+	value, err := json.Marshal(map[string]any{
+		"service": p.part.Service, "addr": p.link.Addr(), "zone": p.domain, "version": "v1", "max_concurrency": p.part.Slots,
+		"state": state, "warmup_left_ms": 0, "sequence": time.Now().UnixMilli(), "born": p.born,
+	})
+	if err != nil {
+		panic(err) // the value holds nothing that JSON can't express
+	}
+	s.shelf.Put("servers/"+p.part.ID, value)
+}
+
+// beat writes the heartbeats of all searchers.
+func (s *site) beat(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		for _, p := range s.searchers {
+			s.register(p)
+		}
+		s.mu.Unlock()
+		sleep(ctx, heartbeat)
+	}
+}
+
+// end stops a searcher for good and takes it off the list.
+func (s *site) end(p *searcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.stop()
+	for i, other := range s.searchers {
+		if other == p {
+			s.searchers = append(s.searchers[:i], s.searchers[i+1:]...)
+			s.shelf.Delete("servers/" + p.part.ID)
+			return
+		}
+	}
+}
+
+// pick returns the n-th searcher that is not leaving, counted around.
+func (s *site) pick(n int) *searcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.searchers {
+		if p := s.searchers[(n+i)%len(s.searchers)]; !p.leaving.Load() {
+			return p
+		}
+	}
+	return s.searchers[0]
+}
+
+// heal ends the faults of all searchers.
+func (s *site) heal() {
+	s.shelf.SetDown(false)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.searchers {
+		p.heal()
+	}
+}
+
+func (p *searcher) heal() {
+	p.part.SetSlow(1)
+	p.part.SetShed(0)
+	p.part.SetMute(false)
+	p.link.Fault(link.Faults{Cut: link.CutNone})
+	p.link.Reset()
+}
--- /dev/null
+++ b/internal/trial/storm/storm_test.go
@@ -0,0 +1,32 @@
+package storm
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// regressions are the seeds that ever found a fault, each with a line on its cause.
+var regressions = []uint64{}
+
+func TestShortStorm(t *testing.T) {
+	dir := t.TempDir()
+	binary := filepath.Join(dir, "yuccahinge")
+	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/yuccahinge").CombinedOutput(); err != nil {
+		t.Fatal(string(out))
+	}
+	for _, seed := range append([]uint64{1}, regressions...) {
+		s := &Storm{Binary: binary, Dir: t.TempDir(), Seed: seed, Length: 6 * time.Second}
+		r, err := s.Run(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		if r.Answered < r.Requests/2 || r.Faults == 0 {
+			t.Errorf("seed %d: %+v", seed, r)
+		}
+	}
+}
--- a/route/stat.go
+++ b/route/stat.go
@@ -294,7 +294,7 @@
 	slots := float64(max(to.Slots, 1))
 	inFlight := float64(s.inFlight.Load())
 	queue := (inFlight + s.hint(now)) / slots
-	return s.estimate(now, inFlight)*(1+queue)*s.cold(now)
+	return s.estimate(now, inFlight) * (1 + queue) * s.cold(now)
 }
 
 // estimate returns the latency estimate, raised by silence and lowered by rest.
