--- a/cmd/storm/main.go
+++ b/cmd/storm/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/yuccahinge/yuccahinge/internal/trial/storm"
@@ -28,7 +29,7 @@
 		fmt.Fprintln(os.Stderr, "storm: --binary and --keep are needed")
 		return 2
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	code := 0
 	for n := *seed; n < *seed+uint64(*seeds) && ctx.Err() == nil; n++ {
--- a/internal/trial/storm/storm.go
+++ b/internal/trial/storm/storm.go
@@ -48,7 +48,7 @@
 	start time.Time
 	// probes counts the callers that look whether a host is well, so that no two share the ids of their attempts.
 	probes int
-	mu    sync.Mutex // guards Out
+	mu     sync.Mutex // guards Out
 }
 
 // Report is what a run brought about.
