--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -66,7 +66,9 @@
 	unserving atomic.Bool
 	// isStrong says that this host asks the searchers of wide requests, for weak hosts too.
 	isStrong atomic.Bool
-	asked    chart.Demand // of the goroutine that watches the reach
+	// asked and warmed belong to the goroutine that watches the reach.
+	asked  chart.Demand
+	warmed map[yuccahinge.SearcherID]bool
 }
 
 // Listen binds the ports. On an error nothing stays bound, and the error names the setting.
--- a/internal/host/gate/probe.go
+++ b/internal/host/gate/probe.go
@@ -34,6 +34,7 @@
 	t := time.NewTicker(probeEvery)
 	defer t.Stop()
 	cut := make(map[yuccahinge.DomainID]bool)
+	g.warmed = make(map[yuccahinge.SearcherID]bool)
 	for turn := 0; ; turn++ {
 		now := g.clock.Now()
 		next := make(map[yuccahinge.DomainID]bool)
@@ -46,6 +47,7 @@
 			g.unserving.Store(!g.servesOrHelper(ctx, now))
 		}
 		g.probe(ctx, now, cut, turn)
+		g.warm(g.Plan())
 		select {
 		case <-t.C:
 		case <-ctx.Done():
