Bind and serve the ports of both kinds of host in one place

node and gate had the same listen, close and serveHTTP; package ports has them once. The stand-ins encode what the users' platform publishes, so that the soak names nothing of it. No behaviour changes.

--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/call/conns"
 	"github.com/yuccahinge/yuccahinge/internal/front/assign"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 	"github.com/yuccahinge/yuccahinge/internal/state/chart"
 	"github.com/yuccahinge/yuccahinge/internal/view/logs"
 	"github.com/yuccahinge/yuccahinge/internal/view/meter"
@@ -56,7 +57,7 @@
 	events   ring
 	logs     logs.Logs
 	meter    meter.Meter
-	ports    ports
+	ports    listeners
 	parts    parts
 	leave    departure
 	inFlight inFlight
@@ -73,7 +74,7 @@
 
 // Listen binds the ports. On an error nothing stays bound, and the error names the setting.
 func (g *Gate) Listen(ctx context.Context) error {
-	if err := g.ports.listen(ctx, g.Settings); err != nil {
+	if err := ports.Listen(ctx, g.ports.all(g.Settings)...); err != nil {
 		return err
 	}
 	g.self = yuccahinge.Member{
@@ -93,7 +94,7 @@
 // Run serves until ctx ends, drains, and returns. An error ends it at once.
 func (g *Gate) Run(ctx context.Context) error {
 	if err := g.wire(); err != nil {
-		g.ports.close()
+		ports.Close(g.ports.all(g.Settings)...)
 		return err
 	}
 	// The parts outlive ctx: requests in flight need them until the drain is done.
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 )
 
 // countEvery is the time between two counts of the entry hosts.
@@ -24,9 +22,9 @@
 	group.Go(func() error { return p.feed.Run(ctx) })
 	group.Go(func() error { return g.countHosts(ctx) })
 	group.Go(func() error { return g.watchReach(ctx) })
-	group.Go(func() error { return serveHTTP(ctx, p.callers, g.ports.callers) })
-	group.Go(func() error { return serveHTTP(ctx, p.ready, g.ports.ready) })
-	group.Go(func() error { return serveHTTP(ctx, p.operators, g.ports.operators) })
+	group.Go(func() error { return ports.ServeHTTP(ctx, p.callers, g.ports.callers) })
+	group.Go(func() error { return ports.ServeHTTP(ctx, p.ready, g.ports.ready) })
+	group.Go(func() error { return ports.ServeHTTP(ctx, p.operators, g.ports.operators) })
 	group.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
@@ -35,18 +33,6 @@
 	})
 }
 
-// serveHTTP serves until ctx ends, on the connections that are open if the listener was closed before.
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
-
 // countHosts keeps the number of entry hosts that share the searchers.
 func (g *Gate) countHosts(ctx context.Context) error {
 	t := time.NewTicker(countEvery)
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/hybrid"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 )
 
@@ -27,7 +28,7 @@
 	stamps hybrid.Clock
 	events event.Ring
 	meter  meter.Meter
-	ports  ports
+	ports  listeners
 	parts  parts
 	leave  departure
 	start  yuccahinge.Millis
@@ -35,7 +36,7 @@
 
 // Listen binds the three ports. On an error nothing stays bound, and the error names the setting.
 func (n *Node) Listen(ctx context.Context) error {
-	if err := n.ports.listen(ctx, n.Settings); err != nil {
+	if err := ports.Listen(ctx, n.ports.all(n.Settings)...); err != nil {
 		return err
 	}
 	n.self = yuccahinge.Member{
@@ -58,7 +59,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	n.start = n.clock.Now()
 	if err := n.wire(); err != nil {
-		n.ports.close()
+		ports.Close(n.ports.all(n.Settings)...)
 		return err
 	}
 	n.record(event.ProcessStarted, "version "+n.Version)
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"net"
-	"net/http"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 )
 
 const (
@@ -23,23 +22,11 @@
 	g.Go(func() error { return p.peers.Serve(ctx, n.ports.peers) })
 	g.Go(func() error { return p.keeper.Run(ctx) })
 	g.Go(func() error { return p.tier.Run(ctx) })
-	g.Go(func() error { return serveHTTP(ctx, p.callers, n.ports.callers) })
-	g.Go(func() error { return serveHTTP(ctx, p.operators, n.ports.operators) })
+	g.Go(func() error { return ports.ServeHTTP(ctx, p.callers, n.ports.callers) })
+	g.Go(func() error { return ports.ServeHTTP(ctx, p.operators, n.ports.operators) })
 	g.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
 		return nil
 	})
 }
-
-// serveHTTP serves until ctx ends, on the connections that are open if the listener was closed before.
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-		<-ctx.Done()
-		return nil
-	}
-	return err
-}
--- a/internal/trial/standin/part/part.go
+++ b/internal/trial/standin/part/part.go
@@ -19,6 +19,16 @@
 	Records     = 8
 )
 
+// The headers of requests and answers.
+const (
+	HeaderAttempt  = "Yuccahinge-Attempt-Id"
+	HeaderDeadline = "Yuccahinge-Deadline-Ms"
+	HeaderTarget   = "Yuccahinge-Target-Instance"
+	HeaderStamp    = "Yuccahinge-Server-Stamp"
+	HeaderParts    = "Yuccahinge-Part-Stamps"
+	HeaderMissing  = "Yuccahinge-Missing-Parts"
+)
+
 // Log counts how often each attempt ran, over all searchers.
 type Log struct {
 	mu   sync.Mutex
@@ -104,9 +114,9 @@
 		h.Set("Yuccahinge-Instance", p.ID)
 		return
 	}
-	attempt := r.Header.Get("Yuccahinge-Attempt-Id")
-	h.Set("Yuccahinge-Attempt-Id", attempt)
-	if r.Header.Get("Yuccahinge-Target-Instance") != p.ID {
+	attempt := r.Header.Get(HeaderAttempt)
+	h.Set(HeaderAttempt, attempt)
+	if r.Header.Get(HeaderTarget) != p.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -122,7 +132,7 @@
 		<-r.Context().Done()
 		return
 	}
-	h.Set("Yuccahinge-Server-Stamp", Sign(p.ID, p.Service, attempt))
+	h.Set(HeaderStamp, Sign(p.ID, p.Service, attempt))
 	_, _ = w.Write(Answer(p.Service, attempt)) // a caller that has gone needs no answer
 }
 
--- a/internal/trial/storm/caller.go
+++ b/internal/trial/storm/caller.go
@@ -51,7 +51,7 @@
 // whole reports whether a host gives a wide answer that lacks nothing.
 func (c *caller) whole(ctx context.Context, h *host) bool {
 	a := c.call(ctx, h, "wide")
-	return a.status == http.StatusOK && a.header.Get("Yuccahinge-Missing-Parts") == "0"
+	return a.status == http.StatusOK && a.header.Get(part.HeaderMissing) == "0"
 }
 
 // answer is what a caller saw of one request.
@@ -78,7 +78,7 @@
 		c.storm.log.violate(fmt.Sprintf("host %s cut request %s off while it drained: %v", h.name, a.attempt, a.err))
 	}
 	if route == "read" && a.status == http.StatusOK {
-		c.storm.log.follow(h.name, life, sent, service(a.header.Get("Yuccahinge-Server-Stamp")), c.storm.site.version.Load())
+		c.storm.log.follow(h.name, life, sent, service(a.header.Get(part.HeaderStamp)), c.storm.site.version.Load())
 	}
 	return a
 }
@@ -102,8 +102,8 @@
 		return
 	}
 	r.Host = "h.example"
-	r.Header.Set("Yuccahinge-Attempt-Id", a.attempt)
-	r.Header.Set("Yuccahinge-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	r.Header.Set(part.HeaderAttempt, a.attempt)
+	r.Header.Set(part.HeaderDeadline, strconv.FormatInt(deadline.Milliseconds(), 10))
 	// Without it the transport sends a request again by itself.
 	r.GetBody = nil
 	resp, err := client.Do(r)
@@ -129,7 +129,7 @@
 	case a.route == "wide":
 		return a.wideProblems()
 	}
-	stamp := a.header.Get("Yuccahinge-Server-Stamp")
+	stamp := a.header.Get(part.HeaderStamp)
 	if !signs(stamp, a.attempt) {
 		return []string{"signature " + stamp + " is not of this request"}
 	}
@@ -143,7 +143,7 @@
 	var out []string
 	var names []string
 	var records [][]byte
-	for _, stamp := range strings.Split(a.header.Get("Yuccahinge-Part-Stamps"), ", ") {
+	for _, stamp := range strings.Split(a.header.Get(part.HeaderParts), ", ") {
 		if !signs(stamp, a.attempt) {
 			out = append(out, "part "+stamp+" is not of this request")
 		}
@@ -157,9 +157,9 @@
 			records, all = append(records, all[:part.RecordBytes]), all[part.RecordBytes:]
 		}
 	}
-	missing, err := strconv.Atoi(a.header.Get("Yuccahinge-Missing-Parts"))
+	missing, err := strconv.Atoi(a.header.Get(part.HeaderMissing))
 	if err != nil || missing+len(names) != shards || 2*len(names) < shards {
-		out = append(out, fmt.Sprintf("%d parts and %q missing", len(names), a.header.Get("Yuccahinge-Missing-Parts")))
+		out = append(out, fmt.Sprintf("%d parts and %q missing", len(names), a.header.Get(part.HeaderMissing)))
 	}
 	slices.SortFunc(records, func(x, y []byte) int { return bytes.Compare(y, x) })
 	if !bytes.Equal(a.body, bytes.Join(records[:min(topRecords, len(records))], nil)) {
--- a/internal/trial/storm/site.go
+++ b/internal/trial/storm/site.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -83,31 +82,14 @@
 // publish writes the next configuration, which moves the read route on to the next service.
 func (s *site) publish() {
 	n := s.version.Add(1)
-	route := func(name, kind string, more map[string]any) map[string]any {
-		out := map[string]any{"name": name, "host": "h.example", "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 3000, "slo_ms": 200, "attempts": 2, "priority": 1}
-		for k, v := range more {
-			out[k] = v
-		}
-		return out
-	}
-	var pools []map[string]any
-	for _, name := range services() {
-		pools = append(pools, map[string]any{"name": name, "health_path": "/health", "max_conns": 40})
+	route := func(name string) shelf.Route {
+		return shelf.Route{Name: name, Host: "h.example", Prefix: "/" + name + "/", TimeoutMs: 3000, SloMs: 200, Attempts: 2}
 	}
-	value, err := json.Marshal(map[string]any{
-		"version": n,
-		"routes": []any{
-			route("wide", "safe", map[string]any{"gather": services()[:shards], "top_k": topRecords, "min_share": 0.5}),
-			route("read", "safe", map[string]any{"service": fmt.Sprint("read", n%generations)}),
-			route("pay", "unsafe", map[string]any{"service": "pay"}),
-		},
-		"services": pools,
-		"limits":   map[string]any{"max_body_bytes": 10000},
-	})
-	if err != nil {
-		panic(err) // the value holds nothing that JSON can't express
-	}
-	s.shelf.Put("op/config", value)
+	wide, read, pay := route("wide"), route("read"), route("pay")
+	wide.Shards, wide.Top, wide.LeastShare = services()[:shards], topRecords, 0.5
+	read.Service = fmt.Sprint("read", n%generations)
+	pay.Service, pay.Once = "pay", true
+	s.shelf.PutConfig(n, []shelf.Route{wide, read, pay}, services(), 40, 10_000)
 }
 
 // add starts a searcher.
@@ -135,18 +117,10 @@
 }
 
 func (s *site) register(p *searcher) {
-	state := "ready"
-	if p.leaving.Load() {
-		state = "draining"
-	}
-	value, err := json.Marshal(map[string]any{
-		"service": p.part.Service, "addr": p.link.Addr(), "zone": p.domain, "version": "v1", "max_concurrency": p.part.Slots,
-		"state": state, "warmup_left_ms": 0, "sequence": time.Now().UnixMilli(), "born": p.born,
+	s.shelf.PutSearcher(p.part.ID, shelf.Searcher{
+		Service: p.part.Service, Addr: p.link.Addr(), Zone: p.domain, Slots: p.part.Slots,
+		Draining: p.leaving.Load(), Sequence: time.Now().UnixMilli(), Born: p.born,
 	})
-	if err != nil {
-		panic(err) // the value holds nothing that JSON can't express
-	}
-	s.shelf.Put("servers/"+p.part.ID, value)
 }
 
 // beat writes the heartbeats of all searchers.
@@ -169,7 +143,7 @@
 	for i, other := range s.searchers {
 		if other == p {
 			s.searchers = append(s.searchers[:i], s.searchers[i+1:]...)
-			s.shelf.Delete("servers/" + p.part.ID)
+			s.shelf.DeleteSearcher(p.part.ID)
 			return
 		}
 	}
