--- a/internal/trial/storm/host.go
+++ b/internal/trial/storm/host.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"os"
@@ -16,6 +17,8 @@
 	"github.com/yuccahinge/yuccahinge/internal/trial/standin/link"
 )
 
+var errNoPorts = errors.New("no loopback ports are free")
+
 // host is an entry host over all lives of its process.
 type host struct {
 	name     string
@@ -41,7 +44,7 @@
 func (s *Storm) startHosts(ctx context.Context) error {
 	var seeds []string
 	for i := range s.Hosts {
-		ports, err := freePorts(4)
+		ports, err := s.freePorts(4)
 		if err != nil {
 			return err
 		}
@@ -67,16 +70,31 @@
 	return nil
 }
 
-// freePorts returns loopback addresses that are free at the moment.
-func freePorts(n int) ([]string, error) {
+const (
+	// lowPort and highPort bound the hosts' ports. They lie under those that the system gives to outgoing connections,
+	// one of which could take the port of a host that is being restarted.
+	lowPort  = 20_000
+	highPort = 32_000
+	// portStep keeps soaks that run beside each other apart.
+	portStep = 97
+)
+
+// freePorts returns loopback addresses that are free and that no other host of this run has.
+func (s *Storm) freePorts(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n && tries < highPort-lowPort; tries++ {
+		port := lowPort + (os.Getpid()*portStep+s.ports)%(highPort-lowPort)
+		s.ports++
+		addr := fmt.Sprint("127.0.0.1:", port)
+		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			return nil, err
+			continue
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		_ = l.Close()
+		out = append(out, addr)
+	}
+	if len(out) < n {
+		return nil, errNoPorts
 	}
 	return out, nil
 }
--- a/internal/trial/storm/storm.go
+++ b/internal/trial/storm/storm.go
@@ -46,6 +46,8 @@
 	hosts []*host
 	log   ledger
 	start time.Time
+	// ports counts the ports that were looked at.
+	ports int
 	// probes counts the callers that look whether a host is well, so that no two share the ids of their attempts.
 	probes int
 	mu     sync.Mutex // guards Out
