Let only settled lists of searchers speak for the platform

A reader now answers others only while nothing that has gone still counts; a host that took another's list in an outage reads the whole list when the store is back; and a watch waits no longer than until the next entry stops to count. Ruled out: pages of the watch (all 361 changes arrive), readers that stood still. Tests: TestListInItsGraceDoesNotSpeakForThePlatform and TestEndOfAGraceIsNotMissedWhileAWatchWaits fail without the change.

--- a/census/census.go
+++ b/census/census.go
@@ -161,6 +161,13 @@
 	return next, next > 0
 }
 
+// Settled reports whether the list is what the platform published at its revision. It is not while entries that have
+// gone still count: who goes by its revision would never hear of their end.
+func (c *Census) Settled(now yuccahinge.Millis) bool {
+	_, pending := c.Next()
+	return !pending && now >= c.graceEnd
+}
+
 // Services returns the searchers of each service in the order of their ids.
 func (c *Census) Services() map[yuccahinge.ServiceName][]*yuccahinge.Listing {
 	out := make(map[yuccahinge.ServiceName][]*yuccahinge.Listing)
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -20,6 +20,8 @@
 	defaultPause yuccahinge.Millis = 400
 	// waitMs is how long one watch of the platform waits for a change.
 	waitMs = 2 * yuccahinge.Second
+	// minWaitMs is the shortest wait of a watch.
+	minWaitMs yuccahinge.Millis = 20
 	// peerWaitMs is how long a reader may let this host wait for a change. It bounds what a reader that stands still
 	// costs.
 	peerWaitMs = 1 * yuccahinge.Second
@@ -39,7 +41,8 @@
 	Reads() bool
 	// Any returns what some hosts know after a revision, though they may not be able to read the platform.
 	Any(ctx context.Context, after yuccahinge.Revision) (*yuccahinge.Batch, error)
-	// Keep takes what this host knows, and Do keeps that from being read while it changes.
+	// Keep takes what this host knows, and whether it was just read from the platform and is settled. Do keeps it from
+	// being read while it changes.
 	Keep(revision yuccahinge.Revision, changed, fresh bool, since func(yuccahinge.Revision) *yuccahinge.Batch)
 	Do(f func())
 }
@@ -109,7 +112,7 @@
 
 // readPeers takes the changes that a reader knows, and returns the pause that follows.
 func (f *Feed) readPeers(ctx context.Context) yuccahinge.Millis {
-	b, err := f.Peers.Changes(ctx, f.census.Revision(), peerWaitMs)
+	b, err := f.Peers.Changes(ctx, f.census.Revision(), f.wait(peerWaitMs))
 	if err != nil {
 		if ctx.Err() == nil {
 			f.directUntil = f.Clock.Now() + directMs
@@ -146,7 +149,15 @@
 	if !f.listed {
 		return f.Publisher.List(ctx)
 	}
-	return f.Publisher.Changes(ctx, f.census.Revision(), waitMs)
+	return f.Publisher.Changes(ctx, f.census.Revision(), f.wait(waitMs))
+}
+
+// wait returns how long a read may wait for a change: no longer than until an entry that has gone stops to count.
+func (f *Feed) wait(most yuccahinge.Millis) yuccahinge.Millis {
+	if at, ok := f.census.Next(); ok {
+		return min(most, max(minWaitMs, at-f.Clock.Now()))
+	}
+	return most
 }
 
 // take lets changes into the list and tells what follows from them.
@@ -155,7 +166,7 @@
 	f.Peers.Do(func() { changed = change(f.Clock.Now()) })
 	first := fresh && !f.listed
 	f.listed = f.listed || fresh
-	f.Peers.Keep(f.census.Revision(), changed, fresh, f.census.Since)
+	f.Peers.Keep(f.census.Revision(), changed, fresh && f.census.Settled(f.Clock.Now()), f.census.Since)
 	if !changed && !first {
 		return
 	}
@@ -185,6 +196,8 @@
 	}
 	f.alone = false
 	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+	// The other host may have kept entries that are gone at its revision, so that changes since then do not suffice.
+	f.listed = false
 }
 
 func (f *Feed) regained(b *yuccahinge.Batch) {
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -25,6 +25,8 @@
 	peers    bool // some host can read the platform
 	reads    bool // this host is to read it
 	calls    int
+	lists    int
+	fresh    bool // the last word of the feed on its own list
 	revision yuccahinge.Revision
 	ids      []string
 }
@@ -58,7 +60,12 @@
 	return p.whole(), nil
 }
 
-func (p *platform) List(context.Context) (*yuccahinge.Batch, error) { return p.read(0) }
+func (p *platform) List(context.Context) (*yuccahinge.Batch, error) {
+	p.mu.Lock()
+	p.lists++
+	p.mu.Unlock()
+	return p.read(0)
+}
 
 func (p *platform) Changes(_ context.Context, after yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
 	time.Sleep((wait / 10).Duration())
@@ -86,7 +93,11 @@
 	return o.whole(), nil
 }
 
-func (o others) Keep(yuccahinge.Revision, bool, bool, func(yuccahinge.Revision) *yuccahinge.Batch) {}
+func (o others) Keep(_ yuccahinge.Revision, _, fresh bool, _ func(yuccahinge.Revision) *yuccahinge.Batch) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.fresh = fresh
+}
 
 func (o others) Do(f func()) { f() }
 
@@ -183,3 +194,55 @@
 		want(t, listed, "[d]")
 	})
 }
+
+// TestListInItsGraceDoesNotSpeakForThePlatform keeps other hosts from going by the revision of a list that still holds
+// entries which are gone: they would never hear of their end.
+func TestListInItsGraceDoesNotSpeakForThePlatform(t *testing.T) {
+	p := &platform{reads: true, peers: true, revision: 1, ids: []string{"a", "b"}}
+	fresh := func() (is bool) {
+		p.set(func() { is = p.fresh })
+		return is
+	}
+	lists := func() (n int) {
+		p.set(func() { n = p.lists })
+		return n
+	}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(time.Second)
+		if !fresh() {
+			t.Error("a list that was just read is not fresh")
+		}
+		p.set(func() { p.down = true })
+		time.Sleep(2 * time.Second)
+		before := lists()
+		p.set(func() { p.down, p.ids = false, []string{"a"} })
+		time.Sleep(time.Second)
+		if lists() == before {
+			t.Error("the list was not read anew after another host's had been taken")
+		}
+		want(t, listed, "[a b]")
+		if fresh() {
+			t.Error("a list is fresh while an entry that has gone still counts")
+		}
+		time.Sleep(2 * time.Second)
+		want(t, listed, "[a]")
+		if !fresh() {
+			t.Error("a list is not fresh after its grace")
+		}
+	})
+}
+
+// TestEndOfAGraceIsNotMissedWhileAWatchWaits lets a watch hear nothing while the grace of an entry ends.
+func TestEndOfAGraceIsNotMissedWhileAWatchWaits(t *testing.T) {
+	f := &Feed{Clock: clock.Clock{}}
+	now := f.Clock.Now()
+	f.census.Apply(now, &yuccahinge.Batch{Whole: true, Revision: 1, Changes: []yuccahinge.Change{{Key: "a", Revision: 1, Listing: &yuccahinge.Listing{}}}})
+	if got := f.wait(waitMs); got != waitMs {
+		t.Fatalf("waits for %g ms", got)
+	}
+	f.census.Away()
+	f.census.Apply(now-1900, &yuccahinge.Batch{Revision: 2, Changes: []yuccahinge.Change{{Key: "a", Revision: 2}}})
+	if got := f.wait(waitMs); got > 400 {
+		t.Fatalf("waits for %g ms though an entry stops to count in 300", got)
+	}
+}
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -59,12 +59,14 @@
 	Any bool `json:"any,omitempty"`
 }
 
-// Keep takes what this host knows: a function that returns the changes after a revision, and whether it has changed
-// since the last call. The function is called under the relay's lock only.
+// Keep takes what this host knows: a function that returns the changes after a revision, whether it has changed since
+// the last call, and whether it was just read from the platform and speaks for it. The function is called under the
+// relay's lock only.
 func (r *Relay) Keep(revision yuccahinge.Revision, changed, fresh bool, since func(yuccahinge.Revision) *yuccahinge.Batch) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.since = since
+	r.read = 0
 	if fresh {
 		r.read = r.Clock.Now()
 	}
@@ -121,7 +123,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.since == nil || !q.Any && r.Clock.Now() > r.read+freshMs {
+	if r.since == nil || !q.Any && (r.read == 0 || r.Clock.Now() > r.read+freshMs) {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPeer, Message: "this host can't read the platform"}
 	}
 	return r.since(q.After), nil
