Read an answer before its open attempts go on

It could not say falsely that nothing ran: an attempt that ends after the answer never counts as refused. The same stood in Search. Test: TestAnswerIsReadBeforeOpenAttemptsGoOn fails under -race without the change.

--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -130,6 +130,7 @@
 		calendar: state.Calendars[service.Calendar],
 	}}
 	q.prepareSearch(service, arrived, deadline, verdict)
+	defer q.settle()
 	err = q.do(ctx)
 	e.release(arrived, q)
 	if err != nil {
--- a/internal/front/query/engine_test.go
+++ b/internal/front/query/engine_test.go
@@ -266,3 +266,30 @@
 		loaded.Store(true)
 	}
 }
+
+// TestAnswerIsReadBeforeOpenAttemptsGoOn lets attempts end at the moment of the answer. The race detector sees whether
+// the answer still reads what they change.
+func TestAnswerIsReadBeforeOpenAttemptsGoOn(t *testing.T) {
+	for range 50 {
+		release := make(chan struct{})
+		e := &Engine{
+			FinishHTTP1: true,
+			Caller: caller(func(_ context.Context, _ yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+				if r.Shard > 0 {
+					<-release
+				}
+				return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonRefused}
+			}),
+		}
+		ix := index(1, 4)
+		now := e.now()
+		f := &Forward{
+			Request: "r", Index: &ix, Arrived: now, AnswerBy: now + 2, Deadline: now + 8, Message: &yuccahinge.Message{},
+			Route: &yuccahinge.Route{Name: "wide", Repeat: yuccahinge.Idempotent, Shards: make([]yuccahinge.ServiceName, 4), LeastShare: 0.5, Attempts: 1},
+		}
+		time.AfterFunc((6 * yuccahinge.Millis(1)).Duration(), func() { close(release) })
+		if _, err := e.Forward(t.Context(), f); err == nil {
+			t.Fatal("an answer without replies")
+		}
+	}
+}
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -60,6 +60,7 @@
 		index:   f.Index,
 		message: f.Message,
 	}}
+	defer q.settle()
 	answer, err := q.forward(ctx, f)
 	if e.Recorder != nil {
 		e.record(q.story(f, answer, err))
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -20,6 +20,8 @@
 	gather  gather.Gather
 	results chan ended
 	cancels []context.CancelFunc
+	// end ends the calls of all attempts; nil before any was sent.
+	end context.CancelFunc
 	// failure is the last answer of a searcher that ran a message and failed.
 	failure *yuccahinge.Response
 }
@@ -79,13 +81,20 @@
 	// Calls may outlive the query when FinishHTTP1 leaves them.
 	calls, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
 	q.act(calls, q.gather.Start(e.now()))
-	err := q.loop(ctx, calls)
-	if q.gather.Open() > 0 {
-		go q.drain(cancel)
-	} else {
-		cancel()
+	q.end = cancel
+	return q.loop(ctx, calls)
+}
+
+// settle lets the attempts that are still open come to their end. What is read of the decisions must be read before,
+// since from then on they belong to another goroutine.
+func (q *run) settle() {
+	switch {
+	case q.end == nil:
+	case q.gather.Open() > 0:
+		go q.drain(q.end)
+	default:
+		q.end()
 	}
-	return err
 }
 
 func (q *run) loop(ctx, calls context.Context) error {
