Take SIGHUP as a change of the settings, and follow their file

Cause: nothing took SIGHUP, so that the runtime ended the process with code 129.

A host now reads its settings again at SIGHUP and whenever their file changes, puts seeds, extra attempts and drain in force, names what waits for the next start, and keeps the former settings when the file is cut short, wrong or gone. Tests: TestHangupUnderLoadEndsNothing (fails without the change: the hosts end), package reload. The soak hangs up on hosts and spoils their file meanwhile. Quota.Left and Conns.Open had no callers and are gone.

--- a/cmd/yuccahinge/entry.go
+++ b/cmd/yuccahinge/entry.go
@@ -9,6 +9,7 @@
 
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/gate"
+	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 	"github.com/yuccahinge/yuccahinge/platform"
 )
 
@@ -40,6 +41,8 @@
 	if path == "" {
 		return fail(exitUsage, errNoSettings)
 	}
+	changes := &reload.Reload{Path: path}
+	changes.Start()
 	s, err := config.Load(path)
 	if err != nil {
 		return fail(exitUsage, err)
@@ -47,7 +50,7 @@
 	if s.Forward.Store == "" || s.Forward.ReadyAddr == "" {
 		return fail(exitUsage, errNoStore)
 	}
-	g := &gate.Gate{Settings: s, Version: version, Outside: platform.Outside(s.Forward.Store), Log: os.Stdout}
+	g := &gate.Gate{Settings: s, Version: version, Outside: platform.Outside(s.Forward.Store), Log: os.Stdout, Reload: changes}
 	if err := g.Listen(ctx); err != nil {
 		return fail(exitUsage, err)
 	}
--- a/cmd/yuccahinge/serve.go
+++ b/cmd/yuccahinge/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/node"
+	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 )
 
 var errSettingsMissing = errors.New("--settings is missing: the file with the settings")
@@ -34,6 +35,8 @@
 	if c.settings == "" {
 		return fail(exitUsage, errSettingsMissing)
 	}
+	changes := &reload.Reload{Path: c.settings}
+	changes.Start()
 	s, err := config.Load(c.settings)
 	if err != nil {
 		return fail(exitUsage, err)
@@ -42,7 +45,7 @@
 		return fail(exitUsage, err)
 	}
 	defer klog.Flush()
-	n := &node.Node{Settings: s, Version: version}
+	n := &node.Node{Settings: s, Version: version, Reload: changes}
 	if err := n.Listen(ctx); err != nil {
 		return fail(exitUsage, err)
 	}
--- a/event/process.go
+++ b/event/process.go
@@ -13,16 +13,21 @@
 	DrainCut        yuccahinge.EventCode = 106
 	InvariantBroken yuccahinge.EventCode = 107
 	PeerRefused     yuccahinge.EventCode = 108
+	// SettingsReloaded and SettingsRefused end a read of the settings while the process runs.
+	SettingsReloaded yuccahinge.EventCode = 109
+	SettingsRefused  yuccahinge.EventCode = 110
 )
 
 var processNames = map[yuccahinge.EventCode]string{
-	ProcessStarted:  "processStarted",
-	ProcessReady:    "processReady",
-	ProcessUnready:  "processUnready",
-	ProcessDraining: "processDraining",
-	ProcessStopped:  "processStopped",
-	ProcessPaused:   "processPaused",
-	DrainCut:        "drainCut",
-	InvariantBroken: "invariantBroken",
-	PeerRefused:     "peerRefused",
+	ProcessStarted:   "processStarted",
+	ProcessReady:     "processReady",
+	ProcessUnready:   "processUnready",
+	ProcessDraining:  "processDraining",
+	ProcessStopped:   "processStopped",
+	ProcessPaused:    "processPaused",
+	DrainCut:         "drainCut",
+	InvariantBroken:  "invariantBroken",
+	PeerRefused:      "peerRefused",
+	SettingsReloaded: "settingsReloaded",
+	SettingsRefused:  "settingsRefused",
 }
--- a/internal/call/conns/conns.go
+++ b/internal/call/conns/conns.go
@@ -83,14 +83,6 @@
 // Warm opens a connection to an address that has none.
 func (c *Conns) Warm(addr string, limit int) { c.peer(addr).warm(limit) }
 
-// Open returns the number of connections to an address, those being opened included.
-func (c *Conns) Open(addr string) int {
-	p := c.peer(addr)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open
-}
-
 // Forget closes the idle connections to an address and those that end their call from now on.
 func (c *Conns) Forget(addr string) {
 	if v, ok := c.peers.LoadAndDelete(addr); ok {
--- a/internal/host/gate/gate.go
+++ b/internal/host/gate/gate.go
@@ -19,6 +19,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/front/assign"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/ports"
+	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 	"github.com/yuccahinge/yuccahinge/internal/state/chart"
 	"github.com/yuccahinge/yuccahinge/internal/view/logs"
 	"github.com/yuccahinge/yuccahinge/internal/view/meter"
@@ -50,6 +51,8 @@
 	Outside  Outside
 	// Log takes the lines of the log.
 	Log io.Writer
+	// Reload follows the settings while the gate runs; nil for settings that never change.
+	Reload *reload.Reload
 
 	self     yuccahinge.Member
 	clock    clock.Clock
@@ -62,7 +65,9 @@
 	leave    departure
 	inFlight inFlight
 	started  yuccahinge.Millis
-	prober   prober
+	// current are the settings in force, of which Settings were the first.
+	current atomic.Pointer[config.Settings]
+	prober  prober
 	// unserving says that callers are better served by hosts of other failure domains.
 	unserving atomic.Bool
 	// isStrong says that this host asks the searchers of wide requests, for weak hosts too.
--- a/internal/host/gate/leave.go
+++ b/internal/host/gate/leave.go
@@ -37,7 +37,8 @@
 
 // drain takes the host from serving to done and cuts nothing in flight before the deadline.
 func (g *Gate) drain(ctx context.Context) {
-	d := drain.Drain{Grace: g.Settings.Drain.GraceMs, Limit: g.Settings.Drain.DeadlineMs}
+	s := g.current.Load().Drain
+	d := drain.Drain{Grace: s.GraceMs, Limit: s.DeadlineMs}
 	d.Start(g.clock.Now())
 	g.leave.leaving.Store(true)
 	g.record(event.ProcessDraining, string(drain.Announced))
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 )
 
@@ -25,6 +26,9 @@
 	group.Go(func() error { return ports.ServeHTTP(ctx, p.callers, g.ports.callers) })
 	group.Go(func() error { return ports.ServeHTTP(ctx, p.ready, g.ports.ready) })
 	group.Go(func() error { return ports.ServeHTTP(ctx, p.operators, g.ports.operators) })
+	if g.Reload != nil {
+		group.Go(func() error { return g.follow(ctx) })
+	}
 	group.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
@@ -33,6 +37,18 @@
 	})
 }
 
+// follow puts changed settings in force while the host runs.
+func (g *Gate) follow(ctx context.Context) error {
+	r := g.Reload
+	r.Settings = g.Settings
+	r.Recorder = &g.events
+	r.Apply = func(s *config.Settings) {
+		g.current.Store(s)
+		g.parts.keeper.Reseed(s.Seeds)
+	}
+	return r.Run(ctx)
+}
+
 // countHosts keeps the number of entry hosts that share the searchers.
 func (g *Gate) countHosts(ctx context.Context) error {
 	t := time.NewTicker(countEvery)
@@ -76,7 +92,7 @@
 	if g.clock.Now() < g.started+settleMs {
 		return 0
 	}
-	all := g.Settings.Forward.ExtraSlack
+	all := g.current.Load().Forward.ExtraSlack
 	hosts := g.parts.share.Hosts()
 	strong := g.parts.strong.Hosts()
 	plan := g.Plan()
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -36,6 +36,7 @@
 // wire fills the parts from the settings. It opens no socket and starts no goroutine.
 func (g *Gate) wire() error {
 	g.started = g.clock.Now()
+	g.current.Store(g.Settings)
 	if err := g.wireEvents(); err != nil {
 		return err
 	}
@@ -121,7 +122,7 @@
 	p.route.MaxEjectMs = maxEjectMs
 	p.route.ErrorCostMs = errorCostMs
 	p.route.CrossMs = 9
-	p.quota.Ratio = ratioShare * s.ExtraRatio
+	p.quota.Ratio = func() float64 { return ratioShare * g.current.Load().Forward.ExtraRatio }
 	p.quota.Slack = g.slack
 	p.share.SettleMs = hostsSettleMs
 	p.strong.SettleMs = hostsSettleMs
--- a/internal/host/node/leave.go
+++ b/internal/host/node/leave.go
@@ -28,7 +28,8 @@
 
 // drain takes the host from serving to done and cuts nothing in flight before the deadline.
 func (n *Node) drain(ctx context.Context) {
-	d := drain.Drain{Grace: max(n.Settings.Drain.GraceMs, leastGrace), Limit: n.Settings.Drain.DeadlineMs}
+	s := n.current.Load().Drain
+	d := drain.Drain{Grace: max(s.GraceMs, leastGrace), Limit: s.DeadlineMs}
 	d.Start(n.clock.Now())
 	for {
 		phase := d.Step(n.clock.Now(), n.busy())
--- a/internal/host/node/node.go
+++ b/internal/host/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
 
@@ -15,6 +16,7 @@
 	"github.com/yuccahinge/yuccahinge/hybrid"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/ports"
+	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 )
 
@@ -22,16 +24,20 @@
 type Node struct {
 	Settings *config.Settings
 	Version  string
+	// Reload follows the settings while the node runs; nil for settings that never change.
+	Reload *reload.Reload
 
-	self   yuccahinge.Member
-	clock  clock.Clock
-	stamps hybrid.Clock
-	events event.Ring
-	meter  meter.Meter
-	ports  listeners
-	parts  parts
-	leave  departure
-	start  yuccahinge.Millis
+	// current are the settings in force, of which Settings were the first.
+	current atomic.Pointer[config.Settings]
+	self    yuccahinge.Member
+	clock   clock.Clock
+	stamps  hybrid.Clock
+	events  event.Ring
+	meter   meter.Meter
+	ports   listeners
+	parts   parts
+	leave   departure
+	start   yuccahinge.Millis
 }
 
 // Listen binds the three ports. On an error nothing stays bound, and the error names the setting.
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 )
 
@@ -24,9 +25,24 @@
 	g.Go(func() error { return p.tier.Run(ctx) })
 	g.Go(func() error { return ports.ServeHTTP(ctx, p.callers, n.ports.callers) })
 	g.Go(func() error { return ports.ServeHTTP(ctx, p.operators, n.ports.operators) })
+	if n.Reload != nil {
+		g.Go(func() error { return n.follow(ctx) })
+	}
 	g.Go(func() error {
 		<-ctx.Done()
 		p.pool.Close()
 		return nil
 	})
 }
+
+// follow puts changed settings in force while the host runs.
+func (n *Node) follow(ctx context.Context) error {
+	r := n.Reload
+	r.Settings = n.Settings
+	r.Recorder = &n.events
+	r.Apply = func(s *config.Settings) {
+		n.current.Store(s)
+		n.parts.keeper.Reseed(s.Seeds)
+	}
+	return r.Run(ctx)
+}
--- a/internal/host/node/wire.go
+++ b/internal/host/node/wire.go
@@ -11,6 +11,7 @@
 
 // wire fills the parts from the settings. It opens no socket and starts no goroutine.
 func (n *Node) wire() error {
+	n.current.Store(n.Settings)
 	if err := n.wireEvents(); err != nil {
 		return err
 	}
--- a/internal/state/keeper/exchange.go
+++ b/internal/state/keeper/exchange.go
@@ -49,7 +49,8 @@
 // askSeed compares rosters with a seed: at every turn while no other host is known, since the seeds may have been down
 // when this host started, and now and then later, so that groups of hosts which know nothing of each other meet.
 func (k *Keeper) askSeed(ctx context.Context, turn int) {
-	if len(k.Seeds) == 0 {
+	seeds := k.seeds()
+	if len(seeds) == 0 {
 		return
 	}
 	k.mu.Lock()
@@ -57,7 +58,7 @@
 	if len(k.roster.Members()) > 1 && turn%seedEvery != 0 {
 		return
 	}
-	addr := k.Seeds[turn%len(k.Seeds)]
+	addr := seeds[turn%len(seeds)]
 	if addr == k.Self.PeerAddr {
 		return
 	}
--- a/internal/state/keeper/join.go
+++ b/internal/state/keeper/join.go
@@ -72,12 +72,22 @@
 	return k.readHead(call, 0, 0)
 }
 
+// Reseed replaces the addresses of peers that are asked while no other host is known, and now and then later.
+func (k *Keeper) Reseed(addrs []string) { k.reseeded.Store(&addrs) }
+
+func (k *Keeper) seeds() []string {
+	if p := k.reseeded.Load(); p != nil {
+		return *p
+	}
+	return k.Seeds
+}
+
 // meet learns of peers from the seeds and from the membership list.
 func (k *Keeper) meet(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, joinCall.Duration())
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, addr := range k.Seeds {
+	for _, addr := range k.seeds() {
 		if addr == k.Self.PeerAddr {
 			continue
 		}
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -34,7 +34,7 @@
 type Keeper struct {
 	// Self is this host, with the incarnation of this process.
 	Self yuccahinge.Member
-	// Seeds are addresses of peers to ask before the membership is known.
+	// Seeds are addresses of peers to ask before the membership is known. Reseed replaces them later.
 	Seeds    []string
 	Source   yuccahinge.Source
 	Peers    yuccahinge.PeerCaller
@@ -73,6 +73,8 @@
 	// refresh is closed at the end of the comparison that follows a pause; nil when none is under way.
 	refresh chan struct{}
 
+	reseeded atomic.Pointer[[]string]
+
 	state  atomic.Pointer[yuccahinge.State]
 	ready  atomic.Pointer[readiness]
 	drains drains
--- a/internal/trial/storm/fault.go
+++ b/internal/trial/storm/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,7 @@
 		func() { s.during(ctx, p.part.ID+" sheds", span, func(on bool) { p.part.SetShed(pick(on, 3, 0)) }) },
 		func() { s.during(ctx, p.part.ID+" mute", span, p.part.SetMute) },
 		func() { s.say("configuration"); s.site.publish() },
+		func() { s.hangUp(h, s.rand.IntN(3)) },
 	}
 	faults[s.rand.IntN(len(faults))]()
 }
@@ -64,6 +66,27 @@
 	h.signal(syscall.SIGCONT)
 }
 
+// hangUp tells a host to read its settings again, which may be cut short or be gone.
+func (s *Storm) hangUp(h *host, how int) {
+	s.onHost(h, "hang up", func() {
+		whole, err := os.ReadFile(h.settings)
+		if err != nil {
+			return
+		}
+		switch how {
+		case 0:
+			_ = os.WriteFile(h.settings, whole[:len(whole)/2], 0o600) // the host has to go on as before
+		case 1:
+			_ = os.Remove(h.settings)
+		}
+		h.signal(syscall.SIGHUP)
+		time.Sleep(50 * time.Millisecond)
+		if err := os.WriteFile(h.settings, whole, 0o600); err != nil {
+			s.log.violate("the settings of " + h.name + " can't be written: " + err.Error())
+		}
+	})
+}
+
 // during switches something on for a span.
 func (s *Storm) during(ctx context.Context, what string, span time.Duration, set func(on bool)) {
 	s.say("%s for %v", what, span)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,8 +18,8 @@
 // requests in that window, and Slack. It implements yuccahinge.Budget. Set the fields before the first use; the zero
 // value grants nothing.
 type Quota struct {
-	// Ratio is the number of extra attempts that one request earns.
-	Ratio float64
+	// Ratio returns the number of extra attempts that one request earns.
+	Ratio func() float64
 	// Slack returns this host's share of the extra attempts at a group that need no request.
 	Slack func(group yuccahinge.ServiceName) float64
 	// WindowMs is the length of the window.
@@ -45,23 +45,13 @@
 	defer g.mu.Unlock()
 	current := g.at(now, q.slice())
 	requests, extra := g.sums()
-	if float64(extra+1) > q.Ratio*float64(requests)+q.slack(name) {
+	if float64(extra+1) > q.ratio()*float64(requests)+q.slack(name) {
 		return false
 	}
 	current.extra++
 	return true
 }
 
-// Left returns the extra attempts that the group may get now.
-func (q *Quota) Left(now yuccahinge.Millis, name yuccahinge.ServiceName) float64 {
-	g := q.group(name)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.at(now, q.slice())
-	requests, extra := g.sums()
-	return q.Ratio*float64(requests) + q.slack(name) - float64(extra)
-}
-
 func (q *Quota) group(name yuccahinge.ServiceName) *group {
 	if v, ok := q.groups.Load(name); ok {
 		return v.(*group)
@@ -70,6 +60,13 @@
 	return v.(*group)
 }
 
+func (q *Quota) ratio() float64 {
+	if q.Ratio == nil {
+		return 0
+	}
+	return q.Ratio()
+}
+
 func (q *Quota) slack(name yuccahinge.ServiceName) float64 {
 	if q.Slack == nil {
 		return 0
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -22,7 +22,7 @@
 func TestHoldsInEveryWindow(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 1000
-		q := &Quota{Ratio: 0.2, Slack: func(yuccahinge.ServiceName) float64 { return 3 }, WindowMs: window}
+		q := &Quota{Ratio: func() float64 { return 0.2 }, Slack: func(yuccahinge.ServiceName) float64 { return 3 }, WindowMs: window}
 		var requests, extra []yuccahinge.Millis
 		now := yuccahinge.Millis(5)
 		within := func(at []yuccahinge.Millis, from, to yuccahinge.Millis) (n int) {
@@ -54,7 +54,7 @@
 }
 
 func TestGroupsAreApartAndRecover(t *testing.T) {
-	q := &Quota{Ratio: 0.5, Slack: func(yuccahinge.ServiceName) float64 { return 1 }, WindowMs: 1000}
+	q := &Quota{Ratio: func() float64 { return 0.5 }, Slack: func(yuccahinge.ServiceName) float64 { return 1 }, WindowMs: 1000}
 	if !q.Take(1, "a") || q.Take(1, "a") || !q.Take(1, "b") {
 		t.Fatal("the slack is not one for each group")
 	}
