--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -29,6 +29,18 @@
 	peerPauseMs yuccahinge.Millis = 100
 	// directMs is how long a host reads the platform itself after its readers have failed it.
 	directMs = 5 * yuccahinge.Second
+	// followerPauseMs is the time between two reads of a platform that does not answer, by a host that is no reader. Its
+	// readers are asked in between, who try more often: every call of every host counts at the platform.
+	followerPauseMs yuccahinge.Millis = 1500
+	// askAgainMs is the time after which such a host asks its readers again.
+	askAgainMs yuccahinge.Millis = 250
+	// meetMs bounds the wait of a host that starts for others whom it may ask in place of the platform. Seeds answer
+	// within milliseconds; a host that starts alone is late by this.
+	meetMs    yuccahinge.Millis = 60
+	meetEvery                   = 5 * time.Millisecond
+	// lapseMs is the time without any news after which the platform may have been away for so long that entries have
+	// lapsed: a searcher's entry lasts three heartbeats, of which one may have passed. Watches take less.
+	lapseMs yuccahinge.Millis = 2600
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff yuccahinge.Millis = 100
 	maxBackoff   yuccahinge.Millis = 500
@@ -70,15 +82,21 @@
 	// alone says that neither the platform nor another host gave a list at the last try.
 	alone       bool
 	directUntil yuccahinge.Millis
-	follows     bool
+	// directFrom is when a host that is no reader may read the platform again after that did not answer.
+	directFrom yuccahinge.Millis
+	follows    bool
+	// begun says that there was a list at some time, and heard when the last news came.
+	begun bool
+	heard yuccahinge.Millis
 }
 
 // Run keeps the list up to date until the context ends.
 func (f *Feed) Run(ctx context.Context) error {
 	f.rand = rand.New(rand.NewPCG(f.Seed, 0))
 	f.backoff = firstBackoff
+	f.meet(ctx)
 	for ctx.Err() == nil {
-		f.follow(f.listed && f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
+		f.follow(f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
 		if f.follows {
 			f.step(ctx, f.readPeers)
 		} else {
@@ -88,6 +106,13 @@
 	return nil
 }
 
+// meet waits until the host knows whether it is to read the platform, which is so while it knows no other host.
+func (f *Feed) meet(ctx context.Context) {
+	for end := f.Clock.Now() + meetMs; f.Peers.Reads() && f.Clock.Now() < end && ctx.Err() == nil; {
+		time.Sleep(meetEvery)
+	}
+}
+
 // step makes one read and waits for the next.
 func (f *Feed) step(ctx context.Context, read func(context.Context) yuccahinge.Millis) {
 	pause := read(ctx)
@@ -112,16 +137,35 @@
 
 // readPeers takes the changes that a reader knows, and returns the pause that follows.
 func (f *Feed) readPeers(ctx context.Context) yuccahinge.Millis {
-	b, err := f.Peers.Changes(ctx, f.census.Revision(), f.wait(peerWaitMs))
-	if err != nil {
-		if ctx.Err() == nil {
-			f.directUntil = f.Clock.Now() + directMs
-			f.record(event.SpreadPullFailed, "searchers: "+err.Error())
-		}
+	after := f.census.Revision()
+	if !f.listed {
+		after = 0
+	}
+	b, err := f.Peers.Changes(ctx, after, f.wait(peerWaitMs))
+	switch {
+	case ctx.Err() != nil:
 		return 0
+	case err == nil:
+		f.heard = f.Clock.Now()
+		f.listed = f.listed || b.Whole
+		f.regained(b)
+		f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+		return peerPauseMs
 	}
-	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
-	return peerPauseMs
+	now := f.Clock.Now()
+	if now < f.directFrom {
+		return min(askAgainMs, f.directFrom-now)
+	}
+	f.record(event.SpreadPullFailed, "searchers: "+err.Error())
+	f.directUntil = now + directMs
+	if errors.Is(err, yuccahinge.ErrPlatformAway) {
+		// They are back as soon as the platform is, so that one look now and then will do.
+		f.directFrom = now + f.jitter(followerPauseMs)
+		f.directUntil = 0
+		f.readPlatform(ctx)
+		return askAgainMs
+	}
+	return 0
 }
 
 // readPlatform reads the whole list, or the changes once that is known, and returns the pause that follows.
@@ -132,6 +176,10 @@
 		return 0
 	case err == nil:
 		f.regained(b)
+		if f.begun && f.Clock.Now() > f.heard+lapseMs {
+			f.census.Away()
+		}
+		f.heard = f.Clock.Now()
 		f.take(func(now yuccahinge.Millis) bool { return f.census.Apply(now, b) }, true)
 		return f.pause()
 	case errors.Is(err, yuccahinge.ErrHistoryGone):
@@ -140,6 +188,11 @@
 	}
 	f.lost(err)
 	f.fallBack(ctx)
+	if f.begun && !f.Peers.Reads() {
+		f.directUntil = 0
+		f.directFrom = max(f.directFrom, f.Clock.Now()+f.jitter(followerPauseMs))
+		return askAgainMs
+	}
 	pause := f.backoff
 	f.backoff = min(2*f.backoff, maxBackoff)
 	return pause
@@ -166,6 +219,7 @@
 	f.Peers.Do(func() { changed = change(f.Clock.Now()) })
 	first := fresh && !f.listed
 	f.listed = f.listed || fresh
+	f.begun = f.begun || f.census.Revision() > 0
 	f.Peers.Keep(f.census.Revision(), changed, fresh && f.census.Settled(f.Clock.Now()), f.census.Since)
 	if !changed && !first {
 		return
@@ -221,10 +275,14 @@
 	return defaultPause
 }
 
-// sleep waits for a span with up to an eighth of it added or taken away.
+// jitter returns a span with up to an eighth of it added or taken away.
+func (f *Feed) jitter(span yuccahinge.Millis) yuccahinge.Millis {
+	return span * yuccahinge.Millis(0.875+0.25*f.rand.Float64())
+}
+
+// sleep waits for about a span.
 func (f *Feed) sleep(ctx context.Context, span yuccahinge.Millis) {
-	span *= yuccahinge.Millis(0.875 + 0.25*f.rand.Float64())
-	t := time.NewTimer(span.Duration())
+	t := time.NewTimer(f.jitter(span).Duration())
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -46,7 +46,8 @@
 	latest  yuccahinge.Revision // of the newest change
 	read    yuccahinge.Millis   // when the platform was last read
 	changed chan struct{}       // closed at the next change
-	turn    int
+	turn    int                 // of the peers that Any asks
+	reader  int                 // the reader that answered last, counted around
 }
 
 var _ yuccahinge.Publisher = (*Relay)(nil)
@@ -70,11 +71,11 @@
 	if fresh {
 		r.read = r.Clock.Now()
 	}
-	if !changed {
-		return
+	if changed {
+		r.latest = revision
 	}
-	r.latest = revision
-	if r.changed != nil {
+	// Who waits here hears at once that this host no longer speaks for the platform.
+	if (changed || !fresh) && r.changed != nil {
 		close(r.changed)
 		r.changed = nil
 	}
@@ -118,22 +119,33 @@
 }
 
 func (r *Relay) answer(ctx context.Context, q *request) (any, error) {
-	if q.WaitMs > 0 {
-		r.await(ctx, q)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.since == nil || !q.Any && (r.read == 0 || r.Clock.Now() > r.read+freshMs) {
-		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPeer, Message: "this host can't read the platform"}
+	if q.WaitMs > 0 && r.speaks(q) {
+		r.await(ctx, q)
+	}
+	if !r.speaks(q) {
+		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform, Message: "this host can't read the platform"}
 	}
 	return r.since(q.After), nil
 }
 
-// await returns when something has changed after the revision asked for, or when the wait is over.
+// speaks reports whether this host may answer: it has read the platform lately, or nobody asks for that.
+func (r *Relay) speaks(q *request) bool {
+	switch {
+	case r.since == nil:
+		return false
+	case q.Any:
+		return true
+	default:
+		return r.read > 0 && r.Clock.Now() <= r.read+freshMs
+	}
+}
+
+// await returns when something has changed after the revision asked for, when this host no longer speaks for the
+// platform, or when the wait is over. The caller holds the lock, which is free meanwhile.
 func (r *Relay) await(ctx context.Context, q *request) {
-	r.mu.Lock()
 	if r.latest > q.After {
-		r.mu.Unlock()
 		return
 	}
 	if r.changed == nil {
@@ -141,6 +153,7 @@
 	}
 	changed := r.changed
 	r.mu.Unlock()
+	defer r.mu.Lock()
 	ctx, cancel := context.WithTimeout(ctx, q.WaitMs.Duration())
 	defer cancel()
 	select {
@@ -152,27 +165,42 @@
 // List implements yuccahinge.Publisher.
 func (r *Relay) List(ctx context.Context) (*yuccahinge.Batch, error) { return r.Changes(ctx, 0, 0) }
 
-// Changes implements yuccahinge.Publisher: it asks one of the readers.
+// Changes implements yuccahinge.Publisher: it asks the reader that answered last, and the next one when that fails.
 func (r *Relay) Changes(ctx context.Context, after yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
 	readers := r.readers()
 	r.mu.Lock()
-	r.turn++
-	first := r.turn
+	first := r.reader
 	r.mu.Unlock()
 	err := errNoReader
 	for i := range readers {
-		m, ok := r.Roster.Find(readers[(first+i)%len(readers)])
+		turn := first + i
+		m, ok := r.Roster.Find(readers[turn%len(readers)])
 		if !ok || m.ID == string(r.Self) {
 			continue
 		}
-		var b *yuccahinge.Batch
-		if b, err = r.ask(ctx, m.PeerAddr, &request{After: after, WaitMs: wait}); err == nil {
+		b, failed := r.ask(ctx, m.PeerAddr, &request{After: after, WaitMs: wait})
+		if failed == nil {
+			r.mu.Lock()
+			r.reader = turn
+			r.mu.Unlock()
 			return b, nil
 		}
+		if refused(failed) {
+			failed = errors.Mark(failed, yuccahinge.ErrPlatformAway)
+		}
+		if !errors.Is(err, yuccahinge.ErrPlatformAway) {
+			err = failed
+		}
 	}
 	return nil, err
 }
 
+// refused reports whether a reader has answered that it can't read the platform.
+func refused(err error) bool {
+	var e *yuccahinge.Error
+	return errors.As(err, &e) && e.Step == yuccahinge.StepPlatform
+}
+
 // Any returns the newest list that a few peers have, whether or not they can read the platform.
 func (r *Relay) Any(ctx context.Context, after yuccahinge.Revision) (*yuccahinge.Batch, error) {
 	members := r.Roster.Members()
--- a/internal/state/relay/relay_test.go
+++ b/internal/state/relay/relay_test.go
@@ -155,3 +155,33 @@
 		}
 	})
 }
+
+// TestReaderThatCannotReadRefusesAtOnce has a follower ask readers in an outage: it must not wait at each of them.
+func TestReaderThatCannotReadRefusesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(86)
+		var c census.Census
+		list(&c, 4, "a")
+		keep := func(fresh bool) {
+			for _, id := range h.readers() {
+				h.relays[id].Keep(c.Revision(), false, fresh, c.Since)
+			}
+		}
+		var follower *Relay
+		for _, r := range h.relays {
+			if !r.Reads() {
+				follower = r
+			}
+		}
+		keep(true)
+		time.AfterFunc(200*time.Millisecond, func() { keep(false) })
+		start := time.Now()
+		if b, err := follower.Changes(t.Context(), 4, 1000); err == nil || time.Since(start) > 200*time.Millisecond {
+			t.Errorf("%+v, %v after %v, want a refusal as soon as the platform is lost", b, err, time.Since(start))
+		}
+		start = time.Now()
+		if b, err := follower.Changes(t.Context(), 4, 1000); err == nil || time.Since(start) > 0 {
+			t.Errorf("%+v, %v after %v, want refusals at once", b, err, time.Since(start))
+		}
+	})
+}
--- a/source.go
+++ b/source.go
@@ -19,6 +19,9 @@
 	Members(ctx context.Context) ([]Member, error)
 }
 
+// ErrPlatformAway reports that other hosts have answered, but can't speak for the platform now.
+var ErrPlatformAway = errors.New("the readers can't read the platform")
+
 // ErrHistoryGone reports that changes after a revision are no longer available.
 var ErrHistoryGone = errors.New("the changes after this revision are gone")
 
