Count the requests that other hosts hand over when a host judges its reach

It judged its reach by what callers asked it themselves, which were mostly lookups that it could serve. Hosts of the other domains, which were out of reach of too many searchers too, had left, so that their callers came to it as well.

Ruled out: the balancer's two questions (the host answered them with 200). Tests: TestRequestsOfOtherHostsCountAsDemand, TestHelperHearsWhatItIsAskedFor.

--- a/internal/front/assign/assign.go
+++ b/internal/front/assign/assign.go
@@ -49,6 +49,8 @@
 	// Index returns the index with a key, or nil if this host does not know its services.
 	Index    func(key uint64) *yuccahinge.Index
 	Recorder yuccahinge.Recorder
+	// Asked is told the route of each request that another host hands over; nil for nobody.
+	Asked func(name yuccahinge.RouteName)
 	// Serves reports whether this host reaches the searchers of what it is asked for.
 	Serves func() bool
 }
@@ -152,6 +154,9 @@
 	if ix == nil {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeNotFound, Step: yuccahinge.StepForward, Message: "this host does not know the services of the request", Outcome: yuccahinge.NotRun}
 	}
+	if a.Asked != nil {
+		a.Asked(r.Route)
+	}
 	answer, err := a.Engine.Forward(ctx, r.forward(a.Clock.Now(), ix))
 	return replyOf(answer, err), nil
 }
--- a/internal/front/assign/assign_test.go
+++ b/internal/front/assign/assign_test.go
@@ -108,6 +108,17 @@
 	}
 }
 
+func TestHelperHearsWhatItIsAskedFor(t *testing.T) {
+	n := newNetwork()
+	var asked []yuccahinge.RouteName
+	for _, h := range n.hosts {
+		h.Asked = func(name yuccahinge.RouteName) { asked = append(asked, name) }
+	}
+	if _, err := n.hosts["weak"].Forward(t.Context(), wide(key)); err != nil || len(asked) != 1 || asked[0] != "wide" {
+		t.Fatalf("%v, %v", asked, err)
+	}
+}
+
 func TestHostWithoutTheConfigurationRunsNothing(t *testing.T) {
 	n := newNetwork()
 	if _, err := n.hosts["weak"].Forward(t.Context(), wide(key+1)); err != nil {
--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -163,6 +163,11 @@
 		}
 		return nil
 	}
+	a.Asked = func(name yuccahinge.RouteName) {
+		if plan := p.chart.Plan(); plan != nil {
+			plan.Asked(name)
+		}
+	}
 	a.Serves = func() bool { return !g.unserving.Load() }
 	a.Register(p.peers.Handle)
 }
--- a/internal/state/chart/demand_test.go
+++ b/internal/state/chart/demand_test.go
@@ -39,3 +39,26 @@
 		t.Fatalf("a route that was busy long ago still has %g of the requests", got)
 	}
 }
+
+// TestRequestsOfOtherHostsCountAsDemand has a host run the wide requests of others while callers ask it for lookups.
+func TestRequestsOfOtherHostsCountAsDemand(t *testing.T) {
+	var c Chart
+	c.Route(routing(1, &yuccahinge.Route{Name: "wide", Host: "h.example", Prefix: "/w/", Shards: []yuccahinge.ServiceName{"a", "b"}},
+		route("lookup", "/l/", yuccahinge.Weight{Service: "a", Weight: 1})))
+	c.Staff(staff("x"))
+	var d Demand
+	c.Plan().Match("h.example", "/l/x").Pick()
+	for range 9 {
+		c.Plan().Asked("wide")
+	}
+	d.Observe(1000, c.Plan().Entries)
+	got := d.Mean(c.Plan().Entries, func(e *Entry) float64 {
+		if e.Route.Scattered() {
+			return 0
+		}
+		return 1
+	})
+	if got > 0.2 {
+		t.Fatalf("a host that can answer no wide request counts itself as serving %g of its requests", got)
+	}
+}
--- a/internal/state/chart/plan.go
+++ b/internal/state/chart/plan.go
@@ -52,6 +52,17 @@
 	return nil
 }
 
+// Asked counts a request for a route that another host has received. The host that runs it has to judge by it whether it
+// serves: the other one goes by that.
+func (p *Plan) Asked(name yuccahinge.RouteName) {
+	for _, e := range p.Entries {
+		if e.Route.Name == name {
+			e.turn.Add(1)
+			return
+		}
+	}
+}
+
 // Picks returns the number of requests that the route has had, over all plans.
 func (e *Entry) Picks() uint64 { return e.turn.Load() }
 
