Spare the platform calls of hosts that start, and read the list of searchers at two hosts

A host now asks seeds and peers first, takes a read of theirs that is younger than a watch, and begins to watch after the first round of its join. Lists of searchers are read by two hosts for 96, in different failure domains, in place of one for sixteen: each is sent every heartbeat.

--- a/internal/host/gate/wire.go
+++ b/internal/host/gate/wire.go
@@ -93,6 +93,7 @@
 	k.Register(p.peers.Handle)
 
 	p.relay.Self = yuccahinge.HostID(g.self.ID)
+	p.relay.Domain = g.self.Domain
 	p.relay.Peers = &p.pool
 	p.relay.Roster = k.Roster()
 	p.relay.Clock = g.clock
@@ -101,6 +102,7 @@
 	f := &p.feed
 	f.Publisher = g.Outside.Searchers
 	f.Changed = p.chart.Staff
+	f.Met = k.Met
 	f.Peers = &p.relay
 	f.Recorder = &g.events
 	f.Clock = g.clock
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -34,10 +34,6 @@
 	followerPauseMs yuccahinge.Millis = 1500
 	// askAgainMs is the time after which such a host asks its readers again.
 	askAgainMs yuccahinge.Millis = 250
-	// meetMs bounds the wait of a host that starts for others whom it may ask in place of the platform. Seeds answer
-	// within milliseconds; a host that starts alone is late by this.
-	meetMs    yuccahinge.Millis = 60
-	meetEvery                   = 5 * time.Millisecond
 	// lapseMs is the time without any news after which the platform may have been away for so long that entries have
 	// lapsed: a searcher's entry lasts three heartbeats, of which one may have passed. Watches take less.
 	lapseMs yuccahinge.Millis = 2600
@@ -65,7 +61,10 @@
 	Publisher yuccahinge.Publisher
 	Peers     Peers
 	// Changed is called with the searchers of each service whenever they have changed.
-	Changed  func(services map[yuccahinge.ServiceName][]*yuccahinge.Listing)
+	Changed func(services map[yuccahinge.ServiceName][]*yuccahinge.Listing)
+	// Met returns once the host knows of others whom it may ask in place of the platform, or that there are none for
+	// now; nil does not wait.
+	Met      func(ctx context.Context)
 	Recorder yuccahinge.Recorder
 	Clock    yuccahinge.Clock
 	// PauseMs is the time between two watches of the platform.
@@ -94,7 +93,9 @@
 func (f *Feed) Run(ctx context.Context) error {
 	f.rand = rand.New(rand.NewPCG(f.Seed, 0))
 	f.backoff = firstBackoff
-	f.meet(ctx)
+	if f.Met != nil {
+		f.Met(ctx)
+	}
 	for ctx.Err() == nil {
 		f.follow(f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
 		if f.follows {
@@ -106,13 +107,6 @@
 	return nil
 }
 
-// meet waits until the host knows whether it is to read the platform, which is so while it knows no other host.
-func (f *Feed) meet(ctx context.Context) {
-	for end := f.Clock.Now() + meetMs; f.Peers.Reads() && f.Clock.Now() < end && ctx.Err() == nil; {
-		time.Sleep(meetEvery)
-	}
-}
-
 // step makes one read and waits for the next.
 func (f *Feed) step(ctx context.Context, read func(context.Context) yuccahinge.Millis) {
 	pause := read(ctx)
--- a/internal/state/keeper/join.go
+++ b/internal/state/keeper/join.go
@@ -32,6 +32,7 @@
 func (k *Keeper) join(ctx context.Context) error {
 	for ctx.Err() == nil {
 		peers, platform := k.joinRound(ctx)
+		k.joined.Store(true)
 		reason := k.unreadyReason(peers, platform)
 		if reason == "" {
 			k.ready.Store(&readiness{ok: true})
@@ -57,21 +58,44 @@
 	peers := k.some(joinPeers)
 	k.mu.Unlock()
 	answered := k.askQuietly(ctx, peers)
+	k.met.Store(true)
 	k.fetchBest(ctx)
 	return answered, k.joinHead(ctx)
 }
 
-// joinHead reads the platform's head. A host that a peer has given a state waits less for a silent platform, which its
-// reader asks again later.
+// joinHead reads the platform's head, unless peers have told of a read that is younger than a watch of a reader takes. A
+// host that a peer has given a state waits less for a silent platform, which its reader asks again later.
 func (k *Keeper) joinHead(ctx context.Context) error {
-	if k.spreadNumber() == 0 {
+	k.mu.Lock()
+	number := k.spread.Number()
+	age, told := k.spread.Age(k.Clock.Now())
+	k.mu.Unlock()
+	switch {
+	case number == 0 && k.joined.Load() && k.reading.Load():
+		return nil // the reader waits for the first ticket
+	case number == 0:
 		return k.readHead(ctx, 0, 0)
+	case told && age <= orDefault(k.WatchMs, DefaultWatch)+joinCall:
+		return nil
 	}
 	call, cancel := context.WithTimeout(ctx, joinCall.Duration())
 	defer cancel()
 	return k.readHead(call, 0, 0)
 }
 
+// meetMs bounds the wait for the seeds before this host reads the platform by itself. Seeds that run answer within
+// milliseconds.
+const meetMs = yuccahinge.Millis(100)
+
+// Met waits until the seeds and some peers were asked, for meetMs at the most: who knows other hosts need not read what
+// they have read.
+func (k *Keeper) Met(ctx context.Context) {
+	const pause = yuccahinge.Millis(5)
+	for end := k.Clock.Now() + meetMs; !k.met.Load() && k.Clock.Now() < end && ctx.Err() == nil; {
+		k.sleep(ctx, pause)
+	}
+}
+
 // Reseed replaces the addresses of peers that are asked while no other host is known, and now and then later.
 func (k *Keeper) Reseed(addrs []string) { k.reseeded.Store(&addrs) }
 
--- a/internal/state/keeper/join_test.go
+++ b/internal/state/keeper/join_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,3 +77,52 @@
 		wait.Wait()
 	})
 }
+
+// counted counts the calls to the platform.
+type counted struct {
+	yuccahinge.Source
+	calls *atomic.Int64
+}
+
+func (c counted) Head(ctx context.Context, after yuccahinge.TicketNumber, wait yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
+	c.calls.Add(1)
+	return c.Source.Head(ctx, after, wait)
+}
+
+// TestFreshHostTakesTheWordOfPeers starts a host beside readers that have just read the platform.
+func TestFreshHostTakesTheWordOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t}
+		f.publish()
+		var wait sync.WaitGroup
+		for i := range 5 {
+			k := f.add(i, "d0")
+			k.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"}
+			run(ctx, &wait, k)
+		}
+		time.Sleep(5 * time.Second)
+		fresh := f.add(5, "d0")
+		fresh.Seeds = []string{"127.0.0.1:7000"}
+		calls := new(atomic.Int64)
+		fresh.Source = counted{f, calls}
+		run(ctx, &wait, fresh)
+		time.Sleep(2 * time.Second)
+		if ok, why := fresh.Ready(); !ok {
+			t.Errorf("not ready: %s", why)
+		}
+		if s, _ := fresh.State(); s == nil || s.Ticket != 1 {
+			t.Errorf("state is %v", s)
+		}
+		if n := calls.Load(); n > 0 && !fresh.spread.Elected() {
+			t.Errorf("%d calls to the platform of a host that is no reader", n)
+		}
+		f.publish()
+		time.Sleep(3 * time.Second)
+		if s, _ := fresh.State(); s == nil || s.Ticket != 2 {
+			t.Errorf("state is %v after the next ticket", s)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
--- a/internal/state/keeper/keeper.go
+++ b/internal/state/keeper/keeper.go
@@ -74,6 +74,11 @@
 	refresh chan struct{}
 
 	reseeded atomic.Pointer[[]string]
+	// met says that the seeds and some peers were asked since the start.
+	met atomic.Bool
+	// joined says that the first round of the join is over, and reading that this host waits at the platform.
+	joined  atomic.Bool
+	reading atomic.Bool
 
 	state  atomic.Pointer[yuccahinge.State]
 	ready  atomic.Pointer[readiness]
--- a/internal/state/keeper/platform.go
+++ b/internal/state/keeper/platform.go
@@ -10,6 +10,8 @@
 )
 
 const (
+	// joinLook is how often the reader looks whether the first round of the join is over.
+	joinLook = yuccahinge.Millis(10)
 	// idleReader is how often a host that does not read asks itself whether it should.
 	idleReader = yuccahinge.Millis(250)
 	// readTimeout bounds a read of the platform beyond the wait it asks for.
@@ -28,10 +30,15 @@
 	backoff := firstBackoff
 	reading := false
 	down := false
+	// The join reads the platform as well, and may find others who do.
+	for !k.joined.Load() && ctx.Err() == nil {
+		k.sleep(ctx, joinLook)
+	}
 	for ctx.Err() == nil {
 		after, reads := k.watch()
 		k.recordReader(reading, reads)
 		reading = reads
+		k.reading.Store(reads && !down)
 		if !reads {
 			k.sleep(ctx, idleReader)
 			continue
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -17,9 +17,10 @@
 
 const (
 	// minReaders is the least number of hosts that read the platform, and hostsPerReader the hosts that each of them
-	// tells at the most.
+	// tells at the most. Each reader is sent every heartbeat of every searcher by the platform; a follower asks a
+	// reader a few times a second at the most, which takes a weak host a few percent of its processor for all.
 	minReaders     = 2
-	hostsPerReader = 16
+	hostsPerReader = 48
 	// freshMs is the age of a reader's last read from which it no longer speaks for the platform.
 	freshMs = 2 * yuccahinge.Second
 	// askPeers is the number of hosts that are asked at a time when the platform and its readers can't be reached.
@@ -36,7 +37,9 @@
 // Relay answers peers from the list of this host and asks them for theirs. It implements yuccahinge.Publisher. Set
 // Self, Peers, Roster and Clock before the first use.
 type Relay struct {
-	Self   yuccahinge.HostID
+	Self yuccahinge.HostID
+	// Domain is this host's failure domain.
+	Domain yuccahinge.DomainID
 	Peers  yuccahinge.PeerCaller
 	Roster yuccahinge.Roster
 	Clock  yuccahinge.Clock
@@ -91,18 +94,33 @@
 // Reads reports whether this host is one of those that read the platform.
 func (r *Relay) Reads() bool { return slices.Contains(r.readers(), r.Self) }
 
-// readers returns the hosts that read the platform by what this host believes of the others.
+// readers returns the hosts that read the platform by what this host believes of the others, in different failure
+// domains as far as there are enough.
 func (r *Relay) readers() []yuccahinge.HostID {
+	domains := make(map[string]yuccahinge.DomainID)
 	ids := []string{string(r.Self)}
 	for _, m := range r.Roster.Members() {
+		domains[m.ID] = m.Domain
 		if m.Status == yuccahinge.StatusLive && m.ID != string(r.Self) {
 			ids = append(ids, m.ID)
 		}
 	}
-	n := max(minReaders, (len(ids)+hostsPerReader-1)/hostsPerReader)
+	domains[string(r.Self)] = r.Domain
+	n := min(len(ids), max(minReaders, (len(ids)+hostsPerReader-1)/hostsPerReader))
+	order := rendez.Order("searchers", ids)
+	used := make(map[yuccahinge.DomainID]bool)
 	var out []yuccahinge.HostID
-	for _, id := range rendez.Order("searchers", ids)[:min(n, len(ids))] {
-		out = append(out, yuccahinge.HostID(id))
+	for _, apart := range [...]bool{true, false} {
+		for _, id := range order {
+			if len(out) == n {
+				return out
+			}
+			if slices.Contains(out, yuccahinge.HostID(id)) || apart && used[domains[id]] {
+				continue
+			}
+			used[domains[id]] = true
+			out = append(out, yuccahinge.HostID(id))
+		}
 	}
 	return out
 }
