--- a/internal/host/config/page_test.go
+++ b/internal/host/config/page_test.go
@@ -17,7 +17,11 @@
 
 A JSON file, checked against internal/host/config/schema.json before anything starts. An unknown field, a wrong unit or
 a bad address ends the program with exit code 2 and an error that names the field and its value. Durations
-are numbers of milliseconds and their names end in Ms. ` + "`yuccahinge settings check FILE`" + ` checks a file only.
+are numbers of milliseconds and their names end in Ms. ` + "`yuccahinge settings check FILE`" + ` checks a file only,
+` + "`yuccahinge settings show FILE`" + ` prints each value in force and whether it is a default.
+
+While a host runs, it reads the file again at SIGHUP and whenever it has changed. ` + "`seeds`, `drain`, `forward.extraRatio` and\n`forward.extraSlack`" + ` take effect at
+once, all others at the next start; a file that is wrong changes nothing. Events 109 and 110 say what came of it.
 
 This page is made from the schema: ` + "`go test ./internal/host/config -run TestPage -update`" + `.
 
