--- a/internal/front/assign/assign.go
+++ b/internal/front/assign/assign.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,8 +54,13 @@
 	Asked func(name yuccahinge.RouteName)
 	// Serves reports whether this host reaches the searchers of what it is asked for.
 	Serves func() bool
+
+	running atomic.Int64
 }
 
+// Running returns the number of requests of other hosts that run here.
+func (a *Assign) Running() int { return int(a.running.Load()) }
+
 // Forward answers a request as query.Engine does.
 func (a *Assign) Forward(ctx context.Context, f *query.Forward) (*query.Forwarded, error) {
 	if !f.Route.Scattered() {
@@ -154,6 +160,8 @@
 	if ix == nil {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeNotFound, Step: yuccahinge.StepForward, Message: "this host does not know the services of the request", Outcome: yuccahinge.NotRun}
 	}
+	a.running.Add(1)
+	defer a.running.Add(-1)
 	if a.Asked != nil {
 		a.Asked(r.Route)
 	}
--- a/internal/host/node/leave.go
+++ b/internal/host/node/leave.go
@@ -9,6 +9,7 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/drain"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/host/ports"
 )
 
 // leastGrace stands for a grace of zero, for which the drain would take its default.
@@ -30,7 +31,8 @@
 func (n *Node) drain(ctx context.Context) {
 	s := n.current.Load().Drain
 	d := drain.Drain{Grace: max(s.GraceMs, leastGrace), Limit: s.DeadlineMs}
-	d.Start(n.clock.Now())
+	start := n.clock.Now()
+	d.Start(start)
 	for {
 		phase := d.Step(n.clock.Now(), n.busy())
 		if phase != n.leave.now() {
@@ -44,7 +46,11 @@
 		}
 	}
 	// A request may have arrived on an open connection since the last step.
-	if cut := max(d.Cut(), n.busy()); cut > 0 {
+	left := start + s.DeadlineMs - n.clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, max(0, left).Duration())
+	defer cancel()
+	err := ports.Finish(ctx, n.parts.callers)
+	if cut := max(d.Cut(), n.busy()); cut > 0 && err != nil {
 		n.record(event.DrainCut, fmt.Sprintf("%d in flight", cut))
 	}
 }
--- a/internal/host/ports/ports.go
+++ b/internal/host/ports/ports.go
@@ -57,3 +57,7 @@
 	}
 	return err
 }
+
+// Finish ends a server that has no more work to its knowledge. It closes the connections without a request and waits for
+// those whose request was read meanwhile, until ctx ends: then the error is that of ctx and the server still runs.
+func Finish(ctx context.Context, s *http.Server) error { return s.Shutdown(ctx) }
