Tell followers of changes from any host while readers lack the platform, and hold up no start

The store lost answers, so that watches hung for 3.2 s; readers without a read for 2 s refused, and their followers hung in a watch of their own instead of taking the list of hosts that had heard. A follower now takes any newer list at each refusal, looks at the platform for a moment only, and watches end after 1 s.

Tests: TestFollowerHearsOfChangesWhileReadersLackThePlatform, TestHostsThatStartTogetherReadThePlatformAtOnce, TestDarkSeedsDoNotHoldUpTheFirstTicket; each fails without its change.

--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -18,8 +18,9 @@
 	// defaultPause is the time between two watches. Heartbeats end each watch at once, so that a shorter pause costs
 	// calls; a longer one delays the word that a searcher is leaving.
 	defaultPause yuccahinge.Millis = 400
-	// waitMs is how long one watch of the platform waits for a change.
-	waitMs = 2 * yuccahinge.Second
+	// waitMs is how long one watch of the platform waits for a change. Heartbeats end most at once; one whose answer is
+	// lost must be given up before searchers that leave meanwhile have to be known.
+	waitMs = 1 * yuccahinge.Second
 	// minWaitMs is the shortest wait of a watch.
 	minWaitMs yuccahinge.Millis = 20
 	// peerWaitMs is how long a reader may let this host wait for a change. It bounds what a reader that stands still
@@ -34,6 +35,8 @@
 	followerPauseMs yuccahinge.Millis = 1500
 	// askAgainMs is the time after which such a host asks its readers again.
 	askAgainMs yuccahinge.Millis = 250
+	// firstMs bounds the wait for a reader's list at the start. A whole list takes a few milliseconds.
+	firstMs yuccahinge.Millis = 100
 	// lapseMs is the time without any news after which the platform may have been away for so long that entries have
 	// lapsed: a searcher's entry lasts three heartbeats, of which one may have passed. Watches take less.
 	lapseMs yuccahinge.Millis = 2600
@@ -93,11 +96,9 @@
 func (f *Feed) Run(ctx context.Context) error {
 	f.rand = rand.New(rand.NewPCG(f.Seed, 0))
 	f.backoff = firstBackoff
-	if f.Met != nil {
-		f.Met(ctx)
-	}
+	f.begin(ctx)
 	for ctx.Err() == nil {
-		f.follow(f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
+		f.follow(f.begun && f.Clock.Now() >= f.directUntil && !f.Peers.Reads())
 		if f.follows {
 			f.step(ctx, f.readPeers)
 		} else {
@@ -107,6 +108,26 @@
 	return nil
 }
 
+// begin takes the first list from a reader if one answers at once. Hosts that start together find none, and read the
+// platform without delay.
+func (f *Feed) begin(ctx context.Context) {
+	if f.Met != nil {
+		f.Met(ctx)
+	}
+	if f.Peers.Reads() {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, firstMs.Duration())
+	defer cancel()
+	b, err := f.Peers.Changes(call, 0, 0)
+	if err != nil {
+		return // the platform is next
+	}
+	f.heard = f.Clock.Now()
+	f.listed = b.Whole
+	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+}
+
 // step makes one read and waits for the next.
 func (f *Feed) step(ctx context.Context, read func(context.Context) yuccahinge.Millis) {
 	pause := read(ctx)
@@ -146,20 +167,28 @@
 		f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
 		return peerPauseMs
 	}
+	if errors.Is(err, yuccahinge.ErrPlatformAway) {
+		return f.readAround(ctx, err)
+	}
 	now := f.Clock.Now()
 	if now < f.directFrom {
 		return min(askAgainMs, f.directFrom-now)
 	}
-	f.record(event.SpreadPullFailed, "searchers: "+err.Error())
 	f.directUntil = now + directMs
-	if errors.Is(err, yuccahinge.ErrPlatformAway) {
-		// They are back as soon as the platform is, so that one look now and then will do.
+	f.record(event.SpreadPullFailed, "searchers: "+err.Error())
+	return 0
+}
+
+// readAround makes do while the readers can't read the platform: they are back as soon as it is. Meanwhile any host may
+// have heard something newer, and a short look at the platform now and then shows whether only the readers lack it.
+func (f *Feed) readAround(ctx context.Context, why error) yuccahinge.Millis {
+	f.fallBack(ctx)
+	if now := f.Clock.Now(); now >= f.directFrom {
 		f.directFrom = now + f.jitter(followerPauseMs)
-		f.directUntil = 0
+		f.record(event.SpreadPullFailed, "searchers: "+why.Error())
 		f.readPlatform(ctx)
-		return askAgainMs
 	}
-	return 0
+	return askAgainMs
 }
 
 // readPlatform reads the whole list, or the changes once that is known, and returns the pause that follows.
@@ -196,6 +225,9 @@
 	if !f.listed {
 		return f.Publisher.List(ctx)
 	}
+	if f.follows {
+		return f.Publisher.Changes(ctx, f.census.Revision(), minWaitMs)
+	}
 	return f.Publisher.Changes(ctx, f.census.Revision(), f.wait(waitMs))
 }
 
@@ -243,9 +275,11 @@
 		return
 	}
 	f.alone = false
+	if b.Revision > f.census.Revision() {
+		// The other host may have kept entries that are gone at its revision, so that changes since then do not suffice.
+		f.listed = false
+	}
 	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
-	// The other host may have kept entries that are gone at its revision, so that changes since then do not suffice.
-	f.listed = false
 }
 
 func (f *Feed) regained(b *yuccahinge.Batch) {
--- a/internal/state/feed/feed_test.go
+++ b/internal/state/feed/feed_test.go
@@ -26,6 +26,7 @@
 	reads    bool // this host is to read it
 	calls    int
 	lists    int
+	refuses  bool          // readers say that they lack the platform
 	stuck    time.Duration // how long readers leave a question without an answer
 	fresh    bool          // the last word of the feed on its own list
 	revision yuccahinge.Revision
@@ -69,6 +70,13 @@
 }
 
 func (p *platform) Changes(_ context.Context, after yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
+	p.mu.Lock()
+	refuses := p.refuses
+	p.mu.Unlock()
+	if refuses {
+		// The answer is lost, which shows some time after the watch was due.
+		wait = 10*wait + 12*yuccahinge.Second
+	}
 	time.Sleep((wait / 10).Duration())
 	return p.read(after)
 }
@@ -80,11 +88,18 @@
 
 func (o others) List(ctx context.Context) (*yuccahinge.Batch, error) { return o.Changes(ctx, 0, 0) }
 
-func (o others) Changes(_ context.Context, _ yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
+func (o others) Changes(ctx context.Context, _ yuccahinge.Revision, wait yuccahinge.Millis) (*yuccahinge.Batch, error) {
 	o.mu.Lock()
-	stuck := o.stuck
+	stuck, refuses := o.stuck, o.refuses
 	o.mu.Unlock()
-	time.Sleep((wait / 10).Duration() + stuck)
+	if refuses {
+		return nil, yuccahinge.ErrPlatformAway
+	}
+	select {
+	case <-time.After((wait / 10).Duration() + stuck):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	return o.Any(context.Background(), 0)
 }
 
@@ -216,6 +231,29 @@
 	})
 }
 
+// TestFollowerHearsOfChangesWhileReadersLackThePlatform has readers that refuse and a platform that answers no one, while
+// some host has heard of a change.
+func TestFollowerHearsOfChangesWhileReadersLackThePlatform(t *testing.T) {
+	p := &platform{peers: true, revision: 1, ids: []string{"a", "b"}}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.down, p.refuses = true, true })
+		time.Sleep(100 * time.Millisecond)
+		p.set(func() { p.ids = []string{"a"} })
+		time.Sleep(1800 * time.Millisecond)
+		want(t, listed, "[a]")
+	})
+}
+
+// TestHostsThatStartTogetherReadThePlatformAtOnce has readers that hang, as they do while they start as well.
+func TestHostsThatStartTogetherReadThePlatformAtOnce(t *testing.T) {
+	p := &platform{peers: true, revision: 1, ids: []string{"a"}, stuck: time.Second}
+	follow(t, p, func(listed func() string) {
+		time.Sleep(150 * time.Millisecond)
+		want(t, listed, "[a]")
+	})
+}
+
 // TestFollowersSpareAPlatformThatIsDown counts the calls of a host whose readers try for it.
 func TestFollowersSpareAPlatformThatIsDown(t *testing.T) {
 	p := &platform{peers: true, revision: 1, ids: []string{"a"}}
--- a/internal/state/keeper/join_test.go
+++ b/internal/state/keeper/join_test.go
@@ -126,3 +126,31 @@
 		wait.Wait()
 	})
 }
+
+// hanging are peers that take calls and never answer, as dark machines do.
+type hanging struct{ yuccahinge.PeerCaller }
+
+func (hanging) Call(ctx context.Context, _ string, _ yuccahinge.PeerMethod, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestDarkSeedsDoNotHoldUpTheFirstTicket starts a host after all hosts have lost power.
+func TestDarkSeedsDoNotHoldUpTheFirstTicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		f := &fleet{t: t}
+		f.publish()
+		var wait sync.WaitGroup
+		k := f.add(0, "d0")
+		k.Seeds = []string{"127.0.0.1:7001"}
+		k.Peers = hanging{}
+		run(ctx, &wait, k)
+		time.Sleep(meetMs.Duration() + 100*time.Millisecond)
+		if s, _ := k.State(); s == nil || s.Ticket != 1 {
+			t.Errorf("state is %v", s)
+		}
+		cancel()
+		wait.Wait()
+	})
+}
--- a/internal/state/keeper/platform.go
+++ b/internal/state/keeper/platform.go
@@ -30,10 +30,7 @@
 	backoff := firstBackoff
 	reading := false
 	down := false
-	// The join reads the platform as well, and may find others who do.
-	for !k.joined.Load() && ctx.Err() == nil {
-		k.sleep(ctx, joinLook)
-	}
+	k.awaitJoin(ctx)
 	for ctx.Err() == nil {
 		after, reads := k.watch()
 		k.recordReader(reading, reads)
@@ -61,6 +58,14 @@
 	return nil
 }
 
+// awaitJoin waits for the first round of the join, which reads the platform as well and may find others who do. Seeds that
+// are gone must not hold up the first ticket.
+func (k *Keeper) awaitJoin(ctx context.Context) {
+	for end := k.Clock.Now() + meetMs; !k.joined.Load() && k.Clock.Now() < end && ctx.Err() == nil; {
+		k.sleep(ctx, joinLook)
+	}
+}
+
 // minPause is the least time between two reads of the head.
 const minPause = yuccahinge.Millis(20)
 
