--- a/internal/host/ports/ports_test.go
+++ b/internal/host/ports/ports_test.go
@@ -12,7 +12,7 @@
 )
 
 // serve starts a server whose handler waits for a word, and returns its address and how it ends.
-func serve(t *testing.T, ctx context.Context) (s *http.Server, addr string, began, proceed chan bool, ended chan error) {
+func serve(ctx context.Context, t *testing.T) (s *http.Server, addr string, began, proceed chan bool, ended chan error) {
 	t.Helper()
 	began, proceed, ended = make(chan bool), make(chan bool), make(chan error, 1)
 	s = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +49,7 @@
 // TestRequestThatCrossesTheEndIsAnswered has a request arrive on a kept connection just before the server ends.
 func TestRequestThatCrossesTheEndIsAnswered(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
-	s, addr, began, proceed, ended := serve(t, ctx)
+	s, addr, began, proceed, ended := serve(ctx, t)
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
@@ -79,7 +79,7 @@
 
 func TestFinishGivesUpAtItsDeadline(t *testing.T) {
 	ctx, stop := context.WithCancel(t.Context())
-	s, addr, began, proceed, ended := serve(t, ctx)
+	s, addr, began, proceed, ended := serve(ctx, t)
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
