Read the settings of a start once, and keep one copy of two waits and of a reader's word

From reading the change: a host decoded its settings file at the start and again two seconds later; Load now does both what the commands did and what the first look did. Keeper had two bounded waits for steps of the join, feed took a reader's list in two places, and both fronts set the same fields of a Reload. Tests keep their assertions.

--- a/cmd/yuccahinge/entry.go
+++ b/cmd/yuccahinge/entry.go
@@ -7,7 +7,6 @@
 
 	"github.com/integrii/flaggy"
 
-	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/gate"
 	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 	"github.com/yuccahinge/yuccahinge/platform"
@@ -42,8 +41,7 @@
 		return fail(exitUsage, errNoSettings)
 	}
 	changes := &reload.Reload{Path: path}
-	changes.Start()
-	s, err := config.Load(path)
+	s, err := changes.Load()
 	if err != nil {
 		return fail(exitUsage, err)
 	}
--- a/cmd/yuccahinge/serve.go
+++ b/cmd/yuccahinge/serve.go
@@ -9,7 +9,6 @@
 	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
 
-	"github.com/yuccahinge/yuccahinge/internal/host/config"
 	"github.com/yuccahinge/yuccahinge/internal/host/node"
 	"github.com/yuccahinge/yuccahinge/internal/host/reload"
 )
@@ -36,8 +35,7 @@
 		return fail(exitUsage, errSettingsMissing)
 	}
 	changes := &reload.Reload{Path: c.settings}
-	changes.Start()
-	s, err := config.Load(c.settings)
+	s, err := changes.Load()
 	if err != nil {
 		return fail(exitUsage, err)
 	}
--- a/cmd/yuccahinge/settings.go
+++ b/cmd/yuccahinge/settings.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"os"
 
 	"github.com/integrii/flaggy"
 
@@ -58,7 +57,7 @@
 }
 
 func (c *settingsCommand) runShow() int {
-	data, err := os.ReadFile(c.file)
+	data, err := config.Read(c.file)
 	if err != nil {
 		return fail(exitUsage, err)
 	}
--- a/internal/host/config/load.go
+++ b/internal/host/config/load.go
@@ -13,11 +13,20 @@
 
 // Load reads and checks the settings in the file at path.
 func Load(path string) (*Settings, error) {
+	data, err := Read(path)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(data)
+}
+
+// Read returns the file at path as it is.
+func Read(path string) ([]byte, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeNotFound, Step: yuccahinge.StepSettings, Message: "unreadable file", Err: err}
 	}
-	return Decode(data)
+	return data, nil
 }
 
 // Decode checks settings in JSON and fills fields that are left out with their defaults. An error names
--- a/internal/host/gate/serve.go
+++ b/internal/host/gate/serve.go
@@ -39,14 +39,10 @@
 
 // follow puts changed settings in force while the host runs.
 func (g *Gate) follow(ctx context.Context) error {
-	r := g.Reload
-	r.Settings = g.Settings
-	r.Recorder = &g.events
-	r.Apply = func(s *config.Settings) {
+	return g.Reload.Run(ctx, &g.events, func(s *config.Settings) {
 		g.current.Store(s)
 		g.parts.keeper.Reseed(s.Seeds)
-	}
-	return r.Run(ctx)
+	})
 }
 
 // countHosts keeps the number of entry hosts that share the searchers.
--- a/internal/host/node/serve.go
+++ b/internal/host/node/serve.go
@@ -37,12 +37,8 @@
 
 // follow puts changed settings in force while the host runs.
 func (n *Node) follow(ctx context.Context) error {
-	r := n.Reload
-	r.Settings = n.Settings
-	r.Recorder = &n.events
-	r.Apply = func(s *config.Settings) {
+	return n.Reload.Run(ctx, &n.events, func(s *config.Settings) {
 		n.current.Store(s)
 		n.parts.keeper.Reseed(s.Seeds)
-	}
-	return r.Run(ctx)
+	})
 }
--- a/internal/host/reload/reload.go
+++ b/internal/host/reload/reload.go
@@ -26,31 +26,38 @@
 // live are the settings that take effect at once; all others do at the next start.
 var live = []string{"seeds", "forward.extraRatio", "forward.extraSlack", "drain"}
 
-// Reload follows the settings file of a host. Set Path and call Start as early as possible; set the other fields before
-// Run.
+// Reload follows the settings file of a host. Set Path and call Load, then Run.
 type Reload struct {
 	Path string
-	// Settings are those in force at the start.
-	Settings *config.Settings
-	// Apply puts new settings in force, as far as that is possible without a start.
-	Apply    func(s *config.Settings)
-	Recorder yuccahinge.Recorder
 	// LookMs is the time between two looks at the file; zero takes 2 s.
 	LookMs yuccahinge.Millis
 
-	hangups chan os.Signal
-	last    []byte // the file as it was read last
-	missing bool   // the file could not be read
+	apply    func(s *config.Settings)
+	recorder yuccahinge.Recorder
+	hangups  chan os.Signal
+	settings *config.Settings // in force
+	last     []byte           // the file as it was read last
+	missing  bool             // the file could not be read
 }
 
-// Start takes SIGHUP from now on, which would end the process otherwise. Hangups that come before Run are kept.
-func (r *Reload) Start() {
+// Load returns the settings that a host starts with. From now on SIGHUP no longer ends the process; one that comes
+// before Run is kept.
+func (r *Reload) Load() (*config.Settings, error) {
 	r.hangups = make(chan os.Signal, 1)
 	signal.Notify(r.hangups, syscall.SIGHUP)
+	data, err := config.Read(r.Path)
+	if err != nil {
+		return nil, err
+	}
+	r.last = data
+	r.settings, err = config.Decode(data)
+	return r.settings, err
 }
 
-// Run reads the settings again at each SIGHUP and whenever the file has changed, until ctx ends.
-func (r *Reload) Run(ctx context.Context) error {
+// Run reads the settings again at each SIGHUP and whenever the file has changed, until ctx ends. Apply puts them in force,
+// as far as that is possible without a start.
+func (r *Reload) Run(ctx context.Context, recorder yuccahinge.Recorder, apply func(s *config.Settings)) error {
+	r.recorder, r.apply = recorder, apply
 	look := r.LookMs
 	if look <= 0 {
 		look = defaultLook
@@ -60,19 +67,19 @@
 	for {
 		select {
 		case <-r.hangups:
-			r.Read(true)
+			r.read(true)
 		case <-t.C:
-			r.Read(false)
+			r.read(false)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
-// Read reads the file once. A file that can't be used leaves the settings in force as they are. Asked says that
+// read reads the file once. A file that can't be used leaves the settings in force as they are. Asked says that
 // somebody waits for an event, even if nothing has changed.
-func (r *Reload) Read(asked bool) {
-	data, err := os.ReadFile(r.Path)
+func (r *Reload) read(asked bool) {
+	data, err := config.Read(r.Path)
 	if err != nil {
 		if asked || !r.missing {
 			r.refuse(err)
@@ -81,7 +88,7 @@
 		return
 	}
 	r.missing = false
-	if !asked && r.last != nil && bytes.Equal(data, r.last) {
+	if !asked && bytes.Equal(data, r.last) {
 		return
 	}
 	r.last = data
@@ -90,17 +97,17 @@
 		r.refuse(err)
 		return
 	}
-	changed := differences(r.Settings, next)
+	changed := differences(r.settings, next)
 	if len(changed) == 0 && !asked {
 		return
 	}
-	r.Settings = next
-	r.Apply(next)
-	r.Recorder.Record(yuccahinge.Event{Code: event.SettingsReloaded, Detail: describe(changed)})
+	r.settings = next
+	r.apply(next)
+	r.recorder.Record(yuccahinge.Event{Code: event.SettingsReloaded, Detail: describe(changed)})
 }
 
 func (r *Reload) refuse(err error) {
-	r.Recorder.Record(yuccahinge.Event{Code: event.SettingsRefused, Detail: err.Error()})
+	r.recorder.Record(yuccahinge.Event{Code: event.SettingsRefused, Detail: err.Error()})
 }
 
 // describe names what has changed, and apart from it what takes effect at the next start only.
--- a/internal/host/reload/reload_test.go
+++ b/internal/host/reload/reload_test.go
@@ -37,13 +37,12 @@
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "settings.json")
 	write(t, path, good)
-	s, err := config.Load(path)
-	if err != nil {
-		t.Fatal(err)
-	}
 	events := make(recorder, 16)
 	applied := new([]*config.Settings)
-	r := &Reload{Path: path, Settings: s, Recorder: events, Apply: func(s *config.Settings) { *applied = append(*applied, s) }}
+	r := &Reload{Path: path, recorder: events, apply: func(s *config.Settings) { *applied = append(*applied, s) }}
+	if _, err := r.Load(); err != nil {
+		t.Fatal(err)
+	}
 	return r, events, applied
 }
 
@@ -57,7 +56,7 @@
 func TestChangesAreAppliedAndNamed(t *testing.T) {
 	r, events, applied := follow(t)
 	write(t, r.Path, strings.NewReplacer(`"127.0.0.1:5"`, `"127.0.0.1:6"`, `:50`, `:70`, `"host":"e1"`, `"host":"e2"`).Replace(good))
-	r.Read(false)
+	r.read(false)
 	e := events.next()
 	if e.Code != event.SettingsReloaded || e.Detail != "in force: forward.extraSlack, seeds; at the next start: host" {
 		t.Fatalf("%+v", e)
@@ -65,7 +64,7 @@
 	if len(*applied) != 1 || (*applied)[0].Seeds[0] != "127.0.0.1:6" || (*applied)[0].Forward.ExtraSlack != 70 {
 		t.Fatalf("%+v", *applied)
 	}
-	r.Read(false)
+	r.read(false)
 	if len(events) != 0 || len(*applied) != 1 {
 		t.Fatal("an unchanged file is applied again")
 	}
@@ -84,13 +83,13 @@
 	} {
 		r, events, applied := follow(t)
 		spoil(t, r.Path)
-		r.Read(false)
-		r.Read(false)
+		r.read(false)
+		r.read(false)
 		if e := events.next(); e.Code != event.SettingsRefused || e.Detail == "" || len(events) != 0 || len(*applied) != 0 {
 			t.Errorf("%s: %+v, %d more events, %d applied", name, e, len(events), len(*applied))
 		}
 		write(t, r.Path, strings.Replace(good, ":50", ":60", 1))
-		r.Read(false)
+		r.read(false)
 		if e := events.next(); e.Code != event.SettingsReloaded || len(*applied) != 1 {
 			t.Errorf("%s, then mended: %+v, %d applied", name, e, len(*applied))
 		}
@@ -100,14 +99,13 @@
 func TestHangupReadsTheFile(t *testing.T) {
 	r, events, _ := follow(t)
 	r.LookMs = 60 * yuccahinge.Second
-	r.Start()
 	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	done := make(chan error)
-	go func() { done <- r.Run(ctx) }()
+	go func() { done <- r.Run(ctx, events, r.apply) }()
 	if e := <-events; e.Code != event.SettingsReloaded || e.Detail != "nothing has changed" {
 		t.Errorf("%+v", e)
 	}
--- a/internal/state/feed/feed.go
+++ b/internal/state/feed/feed.go
@@ -123,8 +123,14 @@
 	if err != nil {
 		return // the platform is next
 	}
+	f.told(b)
+}
+
+// told takes what a reader says.
+func (f *Feed) told(b *yuccahinge.Batch) {
 	f.heard = f.Clock.Now()
-	f.listed = b.Whole
+	f.listed = f.listed || b.Whole
+	f.regained(b)
 	f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
 }
 
@@ -161,10 +167,7 @@
 	case ctx.Err() != nil:
 		return 0
 	case err == nil:
-		f.heard = f.Clock.Now()
-		f.listed = f.listed || b.Whole
-		f.regained(b)
-		f.take(func(now yuccahinge.Millis) bool { return f.census.Merge(now, b) }, false)
+		f.told(b)
 		return peerPauseMs
 	}
 	if errors.Is(err, yuccahinge.ErrPlatformAway) {
--- a/internal/state/keeper/join.go
+++ b/internal/state/keeper/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -89,10 +90,12 @@
 
 // Met waits until the seeds and some peers were asked, for meetMs at the most: who knows other hosts need not read what
 // they have read.
-func (k *Keeper) Met(ctx context.Context) {
-	const pause = yuccahinge.Millis(5)
-	for end := k.Clock.Now() + meetMs; !k.met.Load() && k.Clock.Now() < end && ctx.Err() == nil; {
-		k.sleep(ctx, pause)
+func (k *Keeper) Met(ctx context.Context) { k.await(ctx, &k.met) }
+
+// await waits until a step of the join is over, for meetMs at the most.
+func (k *Keeper) await(ctx context.Context, step *atomic.Bool) {
+	for end := k.Clock.Now() + meetMs; !step.Load() && k.Clock.Now() < end && ctx.Err() == nil; {
+		k.sleep(ctx, joinLook)
 	}
 }
 
--- a/internal/state/keeper/platform.go
+++ b/internal/state/keeper/platform.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// joinLook is how often the reader looks whether the first round of the join is over.
-	joinLook = yuccahinge.Millis(10)
+	// joinLook is how often a part that waits for a step of the join looks whether it is over.
+	joinLook = yuccahinge.Millis(5)
 	// idleReader is how often a host that does not read asks itself whether it should.
 	idleReader = yuccahinge.Millis(250)
 	// readTimeout bounds a read of the platform beyond the wait it asks for.
@@ -30,7 +30,9 @@
 	backoff := firstBackoff
 	reading := false
 	down := false
-	k.awaitJoin(ctx)
+	// The first round of the join reads the platform as well, and may find others who do. Seeds that are gone must not
+	// hold up the first ticket.
+	k.await(ctx, &k.joined)
 	for ctx.Err() == nil {
 		after, reads := k.watch()
 		k.recordReader(reading, reads)
@@ -58,14 +60,6 @@
 	return nil
 }
 
-// awaitJoin waits for the first round of the join, which reads the platform as well and may find others who do. Seeds that
-// are gone must not hold up the first ticket.
-func (k *Keeper) awaitJoin(ctx context.Context) {
-	for end := k.Clock.Now() + meetMs; !k.joined.Load() && k.Clock.Now() < end && ctx.Err() == nil; {
-		k.sleep(ctx, joinLook)
-	}
-}
-
 // minPause is the least time between two reads of the head.
 const minPause = yuccahinge.Millis(20)
 
