Log and count what searchers' maximum request rates do

No event or metric told whether a host sees the Server-Limit of a searcher, or which calls such a searcher gets. Nothing acts on it yet.

- platform decodes the field from every response, failures and refusals too.

--- a/event/searcher.go
+++ b/event/searcher.go
@@ -12,6 +12,11 @@
 	DomainBack yuccahinge.EventCode = 603
 	// HelperFailed means that another host failed to which this host had delegated a request or some of its shards.
 	HelperFailed yuccahinge.EventCode = 604
+	// SearcherLimited means that a searcher names a maximum request rate, and SearcherUnlimited that it has stopped.
+	SearcherLimited   yuccahinge.EventCode = 605
+	SearcherUnlimited yuccahinge.EventCode = 606
+	// SearcherLimitInvalid means that a searcher named a maximum request rate that can't be decoded.
+	SearcherLimitInvalid yuccahinge.EventCode = 607
 )
 
 var searcherNames = map[yuccahinge.EventCode]string{
@@ -20,4 +25,8 @@
 	DomainCut:        "domainCut",
 	DomainBack:       "domainBack",
 	HelperFailed:     "helperFailed",
+
+	SearcherLimited:      "searcherLimited",
+	SearcherUnlimited:    "searcherUnlimited",
+	SearcherLimitInvalid: "searcherLimitInvalid",
 }
--- a/ids.go
+++ b/ids.go
@@ -31,6 +31,9 @@
 // CalendarName identifies a holiday calendar.
 type CalendarName string
 
+// RequestRate is a number of requests per second.
+type RequestRate float64
+
 // RequestID identifies a caller's request.
 type RequestID string
 
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -13,6 +13,7 @@
 	"github.com/yuccahinge/yuccahinge/clock"
 	"github.com/yuccahinge/yuccahinge/depart"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/gather"
 	"github.com/yuccahinge/yuccahinge/poison"
 	"github.com/yuccahinge/yuccahinge/swap"
 )
@@ -64,6 +65,8 @@
 	Domain   yuccahinge.DomainID
 	Clock    yuccahinge.Clock
 	Recorder yuccahinge.EventRecorder
+	// OnAttempt, if set, is called for each attempt that is sent.
+	OnAttempt func(cause gather.Cause, id yuccahinge.SearcherID)
 	// CatchUp waits until the state in force has at least ticket number n.
 	CatchUp func(ctx context.Context, n yuccahinge.TicketNumber) error
 	// Refresh is called before a state is pinned. It blocks only after the process did not run for a while.
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -190,6 +190,9 @@
 		Abandoned:    wait.Done(),
 	}
 	q.recordSend(a)
+	if e.OnAttempt != nil {
+		e.OnAttempt(a.Cause, a.Searcher)
+	}
 	go q.call(ctx, a.Attempt, a.Searcher, r)
 }
 
--- a/internal/host/proxy/parts.go
+++ b/internal/host/proxy/parts.go
@@ -18,6 +18,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/state/watch"
 	"github.com/yuccahinge/yuccahinge/picker"
 	"github.com/yuccahinge/yuccahinge/quota"
+	"github.com/yuccahinge/yuccahinge/ration"
 	"github.com/yuccahinge/yuccahinge/share"
 )
 
@@ -39,6 +40,7 @@
 	assign   assign.Assigner
 	selector coord.Selector
 	balancer picker.Balancer
+	limits   ration.Limiter
 	hedge    hedge.Policy
 	quota    quota.Quota
 	share    share.Allocator
--- a/internal/host/proxy/probe.go
+++ b/internal/host/proxy/probe.go
@@ -7,6 +7,7 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/internal/state/routes"
+	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 )
 
 const (
@@ -149,6 +150,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMs.Duration())
 	defer cancel()
+	srv.countAttempt(meter.CauseProbe, id)
 	report, err := srv.prober.Load(ctx, id, s)
 	if err != nil {
 		return // the searcher stays ejected or cut off; a later round probes again
--- a/internal/host/proxy/wire.go
+++ b/internal/host/proxy/wire.go
@@ -138,6 +138,8 @@
 	p.balancer.MaxEjectMs = maxEjectMs
 	p.balancer.ErrorCostMs = errorCostMs
 	p.balancer.CrossDomainMs = srv.crossDomainCost
+	p.balancer.Limits = &p.limits
+	p.limits.OnChange = srv.recordLimit
 	p.quota.Ratio = func() float64 { return extraRatioShare * srv.current.Load().Forward.ExtraRatio }
 	p.quota.Slack = srv.slack
 	p.share.SettleMs = hostExpiryMs
@@ -154,6 +156,7 @@
 	e.Admission = &p.admit
 	e.HasRoom = p.balancer.HasRoom
 	e.Observer = &p.balancer
+	e.OnAttempt = srv.countAttempt
 	e.Hedger = &p.hedge
 	e.LatencyRecorder = &p.hedge
 	e.RetryBudget = &p.quota
--- a/internal/view/meter/meter.go
+++ b/internal/view/meter/meter.go
@@ -27,6 +27,7 @@
 	eventCounts      map[yuccahinge.EventCode]*eventCount
 	requestDurations metric.Float64Histogram
 	forwardDurations metric.Float64Histogram
+	attemptCounts    attemptCounts
 }
 
 // Start creates the instruments.
@@ -44,6 +45,9 @@
 	if err := m.registerEventCounts(); err != nil {
 		return err
 	}
+	if err := m.registerAttemptCounts(); err != nil {
+		return err
+	}
 	m.requestDurations, err = m.instruments.Float64Histogram("yuccahinge.request.duration",
 		metric.WithUnit("ms"),
 		metric.WithDescription("Time from the arrival of a caller's request to the end of its answer."),
--- a/internal/view/meter/meter_test.go
+++ b/internal/view/meter/meter_test.go
@@ -17,6 +17,7 @@
 	if err := m.Gauge("yuccahinge.ticket", "Ticket in force.", func() float64 { return 7 }); err != nil {
 		t.Fatal(err)
 	}
+	m.CountAttempt(Attempt{Cause: "hedge", Limited: true})
 	m.CountEvent(yuccahinge.Event{Code: 401, Name: "ticketInForce"})
 	h := m.Instrument(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusTeapot) }))
 	h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
@@ -25,6 +26,7 @@
 	for _, want := range []string{
 		`yuccahinge_events_total{code="401",name="ticketInForce"} 1`,
 		`yuccahinge_ticket 7`,
+		`yuccahinge_attempts_total{cause="hedge",limited="true"} 1`,
 		`status="418"`,
 	} {
 		if !strings.Contains(w.Body.String(), want) {
--- a/picker/balancer.go
+++ b/picker/balancer.go
@@ -34,6 +34,8 @@
 	WatchDomains bool
 	// MaxEjectMs is the longest ejection of a searcher; zero means 16 s.
 	MaxEjectMs yuccahinge.Millis
+	// Limits is notified of the load report of each response; it may be nil.
+	Limits yuccahinge.RateLimiter
 
 	searchers   sync.Map // of yuccahinge.SearcherID to *searcherStats
 	domains     sync.Map // of yuccahinge.DomainID to *domainState
@@ -85,11 +87,18 @@
 // Ended records the result of an attempt.
 func (b *Balancer) Ended(now yuccahinge.Millis, id yuccahinge.SearcherID, res *yuccahinge.ShardResult) {
 	b.stats(id).recordEnd(now, res, b.maxEjectMs())
+	if report := res.LoadReport(); report != nil && b.Limits != nil {
+		b.Limits.Observe(now, now-res.Latency, id, report)
+	}
 }
 
-// RecordReport records a load report that came outside a reply, such as that of a probe.
+// RecordReport records a load report that came outside a reply, such as that of a probe. A report without a maximum rate
+// does not end one, because health checks may leave it out.
 func (b *Balancer) RecordReport(now yuccahinge.Millis, id yuccahinge.SearcherID, report *yuccahinge.LoadReport) {
 	b.stats(id).recordReport(now, report)
+	if report.MaxRate != nil && b.Limits != nil {
+		b.Limits.Observe(now, now, id, report)
+	}
 }
 
 // InFlight returns the number of this host's attempts in flight at a searcher.
--- a/policy.go
+++ b/policy.go
@@ -19,6 +19,12 @@
 	Ended(now Millis, id SearcherID, r *ShardResult)
 }
 
+// RateLimiter tracks the maximum request rates that searchers name.
+type RateLimiter interface {
+	// Observe records the load report of a response to a call that was sent at the instant sentAt.
+	Observe(now, sentAt Millis, id SearcherID, report *LoadReport)
+}
+
 // Hedger decides when a hedge, a second attempt at a slow shard, may start.
 type Hedger interface {
 	// Delay returns the delay of the hedge from the start of the first attempt, or false for no hedge.
--- a/shardcall.go
+++ b/shardcall.go
@@ -47,6 +47,10 @@
 	// SpeedPercent is the time that work takes on the searcher's machine at present, as a percentage of the usual
 	// time; zero if unknown.
 	SpeedPercent int `json:"speedPercent,omitempty"`
+	// MaxRate is the rate of requests that the searcher accepts from all entry hosts together; nil if it names none.
+	MaxRate *RequestRate `json:"maxRate,omitempty"`
+	// MalformedMaxRate is the quoted text of a maximum rate that can't be decoded; empty if there is none.
+	MalformedMaxRate string `json:"-"`
 }
 
 // ShardResult is the result of an attempt. Outcome is Ran only with a valid reply.
@@ -58,7 +62,17 @@
 	Latency Millis
 	// FailureResponse is the response of a searcher that ran a forwarded request and failed.
 	FailureResponse *HTTPResponse
-	Err             error
+	// ReportWithoutReply is the load report of a response that is no valid reply; nil for none.
+	ReportWithoutReply *LoadReport
+	Err                error
+}
+
+// LoadReport returns the load report that came with the searcher's response, or nil if there is none.
+func (r *ShardResult) LoadReport() *LoadReport {
+	if r.Reply != nil {
+		return &r.Reply.Load
+	}
+	return r.ReportWithoutReply
 }
 
 // DroppedInQueue reports whether the attempt was dropped from this host's own queue. Such a result carries no
