Add a failing test: a searcher gets more than the maximum rate that it names

Four entry hosts as processes, one of two replicas of a shard limited:

maxrate_test.go:38: searcher i-1 of wide0 named a maximum rate of 12/s and got 524 requests in 4s, 8.0 s later; allowed are 77

--- a/internal/trial/chaos/environment.go
+++ b/internal/trial/chaos/environment.go
@@ -45,6 +45,9 @@
 	// draining is also set for a crashed searcher, so that pickSearcher skips it.
 	draining  atomic.Bool
 	startedMs int64
+
+	ratesMu     sync.Mutex
+	ratePeriods []ratePeriod // the periods that have ended
 }
 
 func newEnvironment(ctx context.Context) (*environment, error) {
--- a/internal/trial/chaos/experiment.go
+++ b/internal/trial/chaos/experiment.go
@@ -64,18 +64,9 @@
 // Run runs the hosts and callers under faults. It returns an error if the hosts could not be started or gave no answers
 // with full coverage before the first fault.
 func (x *Experiment) Run(ctx context.Context) (*Report, error) {
-	x.rand = rand.New(rand.NewPCG(x.Seed, 1))
-	x.start = time.Now()
-	if x.Hosts == 0 {
-		x.Hosts = 4
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	var err error
-	if x.env, err = newEnvironment(ctx); err != nil {
-		return nil, err
-	}
-	if err := x.startHosts(ctx); err != nil {
+	if err := x.prepare(ctx); err != nil {
 		return nil, err
 	}
 	defer x.stopHosts()
@@ -91,14 +82,37 @@
 	return r, nil
 }
 
-// runFaults injects faults while callers send requests, and returns the number of faults.
-func (x *Experiment) runFaults(ctx context.Context) int {
-	callersCtx, stop := context.WithCancel(ctx)
+// prepare starts the platform, the searchers and the hosts.
+func (x *Experiment) prepare(ctx context.Context) error {
+	x.rand = rand.New(rand.NewPCG(x.Seed, 1))
+	x.start = time.Now()
+	if x.Hosts == 0 {
+		x.Hosts = 4
+	}
+	var err error
+	if x.env, err = newEnvironment(ctx); err != nil {
+		return err
+	}
+	return x.startHosts(ctx)
+}
+
+// startCallers starts the callers. The returned function stops them and waits for the end of their requests.
+func (x *Experiment) startCallers(ctx context.Context) (stop func()) {
 	var g errgroup.Group
+	ctx, cancel := context.WithCancel(ctx)
 	for i := range callers {
 		c := newCaller(x, i)
-		g.Go(func() error { return c.run(callersCtx) })
+		g.Go(func() error { return c.run(ctx) })
+	}
+	return func() {
+		cancel()
+		_ = g.Wait() // callers always return nil; the checker records failed requests
 	}
+}
+
+// runFaults injects faults while callers send requests, and returns the number of faults.
+func (x *Experiment) runFaults(ctx context.Context) int {
+	stop := x.startCallers(ctx)
 	end := time.Now().Add(x.FaultDuration)
 	n := 0
 	for time.Now().Before(end) && ctx.Err() == nil {
@@ -109,7 +123,6 @@
 	x.clearFaults()
 	sleep(ctx, settleTime)
 	stop()
-	_ = g.Wait() // callers always return nil; the checker records failed requests
 	return n
 }
 
--- a/internal/trial/chaos/experiment_test.go
+++ b/internal/trial/chaos/experiment_test.go
@@ -1,8 +1,6 @@
 package chaos
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 )
@@ -11,11 +9,7 @@
 var regressions = []uint64{}
 
 func TestShortExperiment(t *testing.T) {
-	dir := t.TempDir()
-	binary := filepath.Join(dir, "yuccahinge")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../../cmd/yuccahinge").CombinedOutput(); err != nil {
-		t.Fatal(string(out))
-	}
+	binary := buildBinary(t)
 	for _, seed := range append([]uint64{1}, regressions...) {
 		x := &Experiment{Binary: binary, Dir: t.TempDir(), Seed: seed, FaultDuration: 6 * time.Second}
 		r, err := x.Run(t.Context())
--- a/internal/trial/standin/origin/origin.go
+++ b/internal/trial/standin/origin/origin.go
@@ -29,6 +29,7 @@
 	HeaderServerStamp    = "Yuccahinge-Server-Stamp"
 	HeaderPartStamps     = "Yuccahinge-Part-Stamps"
 	HeaderMissingParts   = "Yuccahinge-Missing-Parts"
+	HeaderMaxRate        = "Server-Limit"
 )
 
 // RunLog counts how often each attempt ran on any searcher. The zero value is empty and ready to use.
@@ -72,6 +73,8 @@
 	shedEvery    atomic.Int64
 	requestCount atomic.Int64
 	noReply      atomic.Bool
+	maxRate      atomic.Pointer[string]
+	arrivals     arrivals
 }
 
 // maxQueued is the maximum number of requests that wait for a slot.
@@ -114,6 +117,10 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	h := w.Header()
 	h.Set("Yuccahinge-Server-Load", fmt.Sprintf("%d,%d,%d", s.running.Load(), s.queued.Load(), s.Slots))
+	s.arrivals.add(time.Now())
+	if rate := s.maxRate.Load(); rate != nil {
+		h.Set(HeaderMaxRate, *rate)
+	}
 	if r.URL.Path == "/health" {
 		h.Set("Yuccahinge-Instance", s.ID)
 		return
