Keep the hosts together within a searcher's maximum request rate

What was seen: a searcher that names Server-Limit got the same requests as before. Callers were not affected; the searcher, which is in need, was.

Evidence: the counters show 769 to 823 first attempts while limited, 43 to 52 hedges, no retries and no probes.

Why this works: package ration divides the rate by one rule on every host (docs/design/ration.md), so that no host needs to know what the others send. The sum in any 4 s is at most 3 + 5.5 L (allowed: 5 + 6 L) for any number of hosts. The picker leaves out searchers without room, so that work goes to other replicas; all calls to searchers pass Balancer.Started, where they are counted; health checks ask first. If too few shards have room for an answer, the request is refused before any call, with the time until there is room. Hosts announce a rate, its changes and its end to each other.

--- a/coord/selector.go
+++ b/coord/selector.go
@@ -142,16 +142,32 @@
 // CountStrong returns the number of hosts that are strong enough to run requests over many shards for others, and whether
 // this host is one of them. If all hosts are equally strong, all of them count.
 func (s *Selector) CountStrong(members []yuccahinge.Member) (n int, self bool) {
-	best := cost(&s.Self, 1)
-	for i := range members {
-		best = min(best, cost(&members[i], 1))
-	}
+	most := s.maxStrongCost(members)
 	for i := range members {
-		if cost(&members[i], 1) <= similarCostRatio*best {
+		if cost(&members[i], 1) <= most {
 			n++
 		}
 	}
-	return max(n, 1), cost(&s.Self, 1) <= similarCostRatio*best
+	return max(n, 1), cost(&s.Self, 1) <= most
+}
+
+// Strong returns for each of the members whether CountStrong counts it.
+func (s *Selector) Strong(members []yuccahinge.Member) []bool {
+	most := s.maxStrongCost(members)
+	out := make([]bool, len(members))
+	for i := range members {
+		out[i] = cost(&members[i], 1) <= most
+	}
+	return out
+}
+
+// maxStrongCost returns the cost of a call up to which a host counts as strong.
+func (s *Selector) maxStrongCost(members []yuccahinge.Member) float64 {
+	best := cost(&s.Self, 1)
+	for i := range members {
+		best = min(best, cost(&members[i], 1))
+	}
+	return similarCostRatio * best
 }
 
 // RecordFailure records that a host did not answer. It is not chosen for a while.
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -66,6 +66,9 @@
 	SuspectShard yuccahinge.ShardID
 
 	Picker yuccahinge.Picker
+	// Room tells a shard whose searchers have no room for a call from one without a searcher; nil takes every shard that
+	// can't be queried for the latter.
+	Room yuccahinge.RoomEstimator
 	// Estimator allows shards to be skipped at the start whose replies are expected after the soft deadline; nil
 	// queries every shard.
 	Estimator       yuccahinge.LatencyEstimator
--- a/gather/send.go
+++ b/gather/send.go
@@ -137,7 +137,7 @@
 	searcher, ok := g.pick(now, s, s.tried[:s.attemptsSent])
 	if !ok {
 		if s.inFlight == 0 {
-			g.markLacking(s, yuccahinge.ReasonUnreachable)
+			g.markLacking(s, g.unpickedReason(now, s))
 		}
 		return false
 	}
@@ -148,6 +148,16 @@
 	return true
 }
 
+// unpickedReason returns why no searcher of a shard can be picked.
+func (g *Gather) unpickedReason(now yuccahinge.Millis, s *shard) yuccahinge.Reason {
+	if g.Room != nil {
+		if wait, ok := g.Room.RoomIn(now, g.Index, s.spec); ok && wait > 0 {
+			return yuccahinge.ReasonNoCapacity
+		}
+	}
+	return yuccahinge.ReasonUnreachable
+}
+
 func (g *Gather) attemptLimit() int {
 	if g.MaxAttempts > 0 {
 		return min(g.MaxAttempts, maxAttempts)
--- a/gossip.go
+++ b/gossip.go
@@ -12,6 +12,9 @@
 	NoticeSuspect NoticeKind = "suspect"
 	// NoticePoisoned says that a query is quarantined. Its key is the Fingerprint in hexadecimal.
 	NoticePoisoned NoticeKind = "poisoned"
+	// NoticeMaxRate says that a searcher names MaxRate, or none any more if that is nil. Its key is the SearcherID. The
+	// notice with the newest Stamp replaces the others.
+	NoticeMaxRate NoticeKind = "maxRate"
 )
 
 // Notice is a short-lived fact that entry hosts gossip to each other. Receiving one is idempotent.
@@ -21,6 +24,9 @@
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 	// TTLMs is the remaining lifetime of the notice, counted from its receipt.
 	TTLMs Millis `json:"ttlMs"`
+	// MaxRate and Stamp are set for NoticeMaxRate only.
+	MaxRate *RequestRate `json:"maxRate,omitempty"`
+	Stamp   Timestamp    `json:"stamp,omitzero"`
 }
 
 // Gossip disseminates notices to the other entry hosts.
--- a/hybrid/hybrid.go
+++ b/hybrid/hybrid.go
@@ -34,10 +34,13 @@
 	}
 }
 
+// InRange reports whether the wall time of a timestamp is within the range of a packed timestamp.
+func InRange(t yuccahinge.Timestamp) bool { return t.Wall >= 0 && t.Wall < maxWall }
+
 // Observe advances the clock to a timestamp received from another host. It ignores a wall time outside the range of a
 // packed timestamp, which would otherwise persist in all later timestamps of every host.
 func (c *Clock) Observe(t yuccahinge.Timestamp) {
-	if t.Wall < 0 || t.Wall >= maxWall {
+	if !InRange(t) {
 		return
 	}
 	observed := pack(t)
--- a/internal/call/probe/prober.go
+++ b/internal/call/probe/prober.go
@@ -43,6 +43,8 @@
 	Urgent func(name yuccahinge.ServiceName, s *yuccahinge.Service) []yuccahinge.SearcherID
 	// Silent returns the searchers that send no replies; nil means none.
 	Silent func(s *yuccahinge.Service) []yuccahinge.SearcherID
+	// Start reports whether a searcher may be probed now, and counts the probe if so; nil allows all probes.
+	Start func(id yuccahinge.SearcherID, s *yuccahinge.Searcher) bool
 	// BeforeRound, if set, is called before each round.
 	BeforeRound func()
 	Clock       yuccahinge.Clock
@@ -131,7 +133,7 @@
 		return out
 	}
 	next[id] = last
-	if s == nil || len(out) == maxPerRound || (known && now < last+interval) {
+	if s == nil || len(out) == maxPerRound || (known && now < last+interval) || p.Start != nil && !p.Start(id, s) {
 		return out
 	}
 	next[id] = now
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -57,6 +57,9 @@
 	Estimator yuccahinge.LatencyEstimator
 	// Admission refuses forwarded requests that the searchers have no room for; nil admits all.
 	Admission yuccahinge.Admission
+	// Room tells when the shards have room for a call under the maximum rates of their searchers; nil puts no such limit
+	// on calls.
+	Room yuccahinge.RoomEstimator
 	// HasRoom reports whether a searcher seems to have a free slot; nil puts no such limit on hedges.
 	HasRoom func(now yuccahinge.Millis, id yuccahinge.SearcherID, s *yuccahinge.Searcher) bool
 	// Delegator delegates shards without a replica in this failure domain to hosts of other domains; nil delegates none.
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -92,6 +92,9 @@
 		return nil, err
 	}
 	q.delegate(f)
+	if err := q.checkRoom(now, f); err != nil {
+		return nil, err
+	}
 	if err := q.execute(ctx); err != nil {
 		return nil, err
 	}
@@ -218,6 +221,9 @@
 		err.RetryAfterMs = fullRetryMs
 		if q.gather.AttemptsSent() == 0 {
 			err.RetryAfterMs = unreachableRetryMs
+			if wait := q.roomIn(q.engine.now(), f); wait > 0 {
+				err.RetryAfterMs = spreadRetry(wait, f)
+			}
 		}
 	case q.engine.now() >= q.gather.Deadline:
 		err.Code = yuccahinge.CodeDeadline
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -77,6 +77,7 @@
 		Deadline:        deadline,
 		Domain:          e.Domain,
 		Picker:          e.Picker,
+		Room:            e.Room,
 		Hedger:          e.Hedger,
 		LatencyRecorder: e.LatencyRecorder,
 		Observer:        e.Observer,
--- a/internal/host/fanout/fanout.go
+++ b/internal/host/fanout/fanout.go
@@ -14,6 +14,7 @@
 	"github.com/yuccahinge/yuccahinge/limit"
 	"github.com/yuccahinge/yuccahinge/picker"
 	"github.com/yuccahinge/yuccahinge/poison"
+	"github.com/yuccahinge/yuccahinge/ration"
 	"github.com/yuccahinge/yuccahinge/share"
 	"github.com/yuccahinge/yuccahinge/swap"
 )
@@ -33,6 +34,7 @@
 	Balancer   picker.Balancer
 	Versions   swap.Versions
 	Departures depart.Tracker
+	Limits     ration.Limiter
 
 	// Domain is this host's failure domain.
 	Domain yuccahinge.DomainID
@@ -40,6 +42,9 @@
 	Seed uint64
 	// HostCount returns the number of entry hosts that share the searchers' connections and slots.
 	HostCount func() int
+	// Hosts returns the entry hosts that divide the maximum request rates of the searchers; nil means that this host is
+	// the only one.
+	Hosts func() []ration.Host
 	// Draining reports whether other hosts have gossiped that a searcher drains; nil means that none does.
 	Draining func(id yuccahinge.SearcherID) bool
 	// OnReport is called for each load report of a probe; it may be nil.
@@ -59,6 +64,7 @@
 	f.Balancer.Seed = f.Seed
 	f.Balancer.IsDraining = f.isDraining
 	f.Balancer.HoldsVersion = f.Versions.Holds
+	f.Balancer.Limits = &f.Limits
 	f.limit.MinBound = f.minSlotShare
 	f.retries.Share = retriesPerAttempt
 	f.hedges.Share = hedgesPerAttempt
@@ -68,6 +74,7 @@
 	e.Caller = &f.Searchers
 	e.Picker = &f.Balancer
 	e.Observer = &f.Balancer
+	e.Room = &f.Balancer
 	e.Hedger = &f.hedge
 	e.LatencyRecorder = &f.hedge
 	e.RetryBudget = &f.retries
@@ -90,6 +97,7 @@
 		Urgent:      f.Versions.UnconfirmedSearchers,
 		Silent:      f.ejectedSearchers,
 		BeforeRound: f.countHosts,
+		Start:       f.startProbe,
 		Clock:       f.Engine.Clock,
 	}
 	err := p.Run(ctx)
@@ -112,7 +120,17 @@
 }
 
 func (f *Fanout) countHosts() {
-	f.share.SetHosts(f.Engine.Clock.Now(), f.HostCount())
+	now := f.Engine.Clock.Now()
+	f.share.SetHosts(now, f.HostCount())
+	hosts := []ration.Host{{ID: f.Limits.Self, Domain: f.Domain}}
+	if f.Hosts != nil {
+		hosts = f.Hosts()
+	}
+	f.Limits.SetHosts(now, hosts)
+}
+
+func (f *Fanout) startProbe(id yuccahinge.SearcherID, s *yuccahinge.Searcher) bool {
+	return f.Balancer.StartProbe(f.Engine.Clock.Now(), id, s, "")
 }
 
 // handleReport passes a searcher's report from a probe to the components that use it. The probe was sent at sentAt.
--- a/internal/host/node/wire.go
+++ b/internal/host/node/wire.go
@@ -6,7 +6,9 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/internal/front/admin"
+	"github.com/yuccahinge/yuccahinge/internal/host/rates"
 	"github.com/yuccahinge/yuccahinge/internal/state/source"
+	"github.com/yuccahinge/yuccahinge/ration"
 )
 
 // wire sets up the components of the host from the settings. It opens no socket and starts no goroutine.
@@ -87,6 +89,16 @@
 	f.Engine.CatchUp = s.CatchUp
 	f.Engine.Refresh = s.Refresh
 	f.Engine.MaxDeadlineMs = n.Settings.Limits.MaxDeadlineMs
+	f.Limits.Self = yuccahinge.HostID(n.self.ID)
+	f.Hosts = func() []ration.Host {
+		var out []ration.Host
+		for _, m := range s.Roster().Members() {
+			out = append(out, ration.Host{ID: yuccahinge.HostID(m.ID), Domain: m.Domain})
+		}
+		return out
+	}
+	r := rates.Rates{Limiter: &f.Limits, Gossip: s, Recorder: &n.events, Stamps: &n.stamps, Clock: n.clock}
+	r.Wire()
 	f.Wire()
 }
 
--- a/internal/host/proxy/limit.go
+++ b/internal/host/proxy/limit.go
@@ -1,28 +1,35 @@
 package proxy
 
 import (
-	"fmt"
-
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/gather"
+	"github.com/yuccahinge/yuccahinge/internal/host/rates"
 	"github.com/yuccahinge/yuccahinge/internal/view/meter"
 	"github.com/yuccahinge/yuccahinge/ration"
 )
 
-// recordLimit records a change of the maximum request rate of a searcher.
-func (srv *Server) recordLimit(c ration.Change) {
-	e := yuccahinge.Event{Code: event.SearcherUnlimited, Searcher: c.Searcher, Detail: fmt.Sprintf("calls %v", c.Calls)}
-	switch {
-	case c.Malformed != "":
-		e.Code, e.Detail = event.SearcherLimitInvalid, c.Malformed
-	case c.MaxRate != nil:
-		e.Code, e.Detail = event.SearcherLimited, fmt.Sprintf("%g requests/s", *c.MaxRate)
+// wireLimits sets up the division of searchers' maximum request rates among the hosts.
+func (srv *Server) wireLimits() {
+	l := &srv.parts.limits
+	l.Self = yuccahinge.HostID(srv.self.ID)
+	l.IsShard = func(name yuccahinge.ServiceName) bool {
+		plan := srv.Plan()
+		return plan != nil && plan.IsShard(name)
 	}
-	srv.events.Record(e)
+	r := rates.Rates{Limiter: l, Gossip: &srv.parts.syncer, Recorder: &srv.events, Stamps: &srv.stamps, Clock: srv.clock}
+	r.Wire()
 }
 
 // countAttempt counts a call that is being sent to a searcher.
 func (srv *Server) countAttempt(cause gather.Cause, id yuccahinge.SearcherID) {
 	srv.meter.CountAttempt(meter.Attempt{Cause: string(cause), Limited: srv.parts.limits.CountCall(id, string(cause))})
 }
+
+// limitHosts returns the hosts that divide the maximum request rates of the searchers.
+func (srv *Server) limitHosts(members []yuccahinge.Member) []ration.Host {
+	out := make([]ration.Host, len(members))
+	for i, strong := range srv.parts.selector.Strong(members) {
+		out[i] = ration.Host{ID: yuccahinge.HostID(members[i].ID), Domain: members[i].Domain, Strong: strong}
+	}
+	return out
+}
--- a/internal/host/proxy/probe.go
+++ b/internal/host/proxy/probe.go
@@ -137,6 +137,9 @@
 				default:
 					continue
 				}
+				if s.HealthPath == "" || !srv.parts.balancer.StartProbe(now, id, s, shard.Service) {
+					continue
+				}
 				left--
 				go srv.probeSearcher(ctx, id, s)
 			}
@@ -145,9 +148,6 @@
 }
 
 func (srv *Server) probeSearcher(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher) {
-	if s.HealthPath == "" {
-		return
-	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMs.Duration())
 	defer cancel()
 	srv.countAttempt(meter.CauseProbe, id)
--- a/internal/host/proxy/serve.go
+++ b/internal/host/proxy/serve.go
@@ -56,6 +56,7 @@
 		strong, isStrong := srv.parts.selector.CountStrong(members)
 		srv.parts.strongHosts.SetHosts(srv.clock.Now(), strong)
 		srv.isStrong.Store(isStrong)
+		srv.parts.limits.SetHosts(srv.clock.Now(), srv.limitHosts(members))
 		if ok, why := srv.ready(); ok != ready {
 			ready = ok
 			srv.recordReadiness(ok, why)
--- a/internal/host/proxy/wire.go
+++ b/internal/host/proxy/wire.go
@@ -139,7 +139,7 @@
 	p.balancer.ErrorCostMs = errorCostMs
 	p.balancer.CrossDomainMs = srv.crossDomainCost
 	p.balancer.Limits = &p.limits
-	p.limits.OnChange = srv.recordLimit
+	srv.wireLimits()
 	p.quota.Ratio = func() float64 { return extraRatioShare * srv.current.Load().Forward.ExtraRatio }
 	p.quota.Slack = srv.slack
 	p.share.SettleMs = hostExpiryMs
@@ -154,6 +154,7 @@
 	e.Picker = &p.balancer
 	e.Estimator = &p.balancer
 	e.Admission = &p.admit
+	e.Room = &p.balancer
 	e.HasRoom = p.balancer.HasRoom
 	e.Observer = &p.balancer
 	e.OnAttempt = srv.countAttempt
--- a/notice/store.go
+++ b/notice/store.go
@@ -1,14 +1,16 @@
-// Package notice stores the short-lived notices that entry hosts gossip: draining searchers, and suspect or
-// quarantined queries.
+// Package notice stores the short-lived notices that entry hosts gossip: draining searchers, maximum request rates of
+// searchers, and suspect or quarantined queries.
 package notice
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/hybrid"
 )
 
 // Limits of a Store.
@@ -47,7 +49,8 @@
 }
 
 // Add stores a notice and reports whether it is new, which includes one that had expired. A known notice keeps the
-// later expiry. Invalid notices, and new ones above the limit, are dropped.
+// later expiry, and one with a newer stamp replaces it and is new. Invalid notices, and new ones above the limit, are
+// dropped.
 func (s *Store) Add(now yuccahinge.Millis, n yuccahinge.Notice) bool {
 	if !isValid(&n) {
 		return false
@@ -55,6 +58,13 @@
 	expiresAt := now + min(n.TTLMs, maxTTL)
 	key := noticeKey{kind: n.Kind, key: n.Key, incarnation: n.Incarnation}
 	if e := s.entries[key]; e != nil {
+		if n.Stamp.Before(e.notice.Stamp) {
+			return false
+		}
+		if e.notice.Stamp.Before(n.Stamp) {
+			*e = entry{notice: n, expiresAt: expiresAt, sendsLeft: s.sendLimit()}
+			return true
+		}
 		expired := now >= e.expiresAt
 		e.expiresAt = max(e.expiresAt, expiresAt)
 		if expired {
@@ -75,6 +85,13 @@
 func isValid(n *yuccahinge.Notice) bool {
 	switch n.Kind {
 	case yuccahinge.NoticeDraining, yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
+		if n.Stamp != (yuccahinge.Timestamp{}) || n.MaxRate != nil {
+			return false
+		}
+	case yuccahinge.NoticeMaxRate:
+		if n.Stamp == (yuccahinge.Timestamp{}) || !hybrid.InRange(n.Stamp) || n.MaxRate != nil && *n.MaxRate < 0 {
+			return false
+		}
 	default:
 		return false
 	}
@@ -119,7 +136,11 @@
 	var sum uint64
 	for key, e := range s.entries {
 		if now < e.expiresAt-expiryMargin {
-			sum ^= xxhash.Sum64String(string(key.kind) + "\x00" + key.key + "\x00" + string(key.incarnation))
+			text := string(key.kind) + "\x00" + key.key + "\x00" + string(key.incarnation)
+			if e.notice.Stamp != (yuccahinge.Timestamp{}) {
+				text += fmt.Sprint("\x00", e.notice.Stamp.Wall, ".", e.notice.Stamp.Count)
+			}
+			sum ^= xxhash.Sum64String(text)
 		}
 	}
 	return sum
--- a/notice/store_test.go
+++ b/notice/store_test.go
@@ -58,3 +58,39 @@
 		t.Fatal("the checksums differ just before the notice expires")
 	}
 }
+
+// TestNewestMaxRateReplacesOthers guards against a maximum rate that an older announcement overwrites, and against hosts
+// that keep different rates without detecting it.
+func TestNewestMaxRateReplacesOthers(t *testing.T) {
+	rate := func(r yuccahinge.RequestRate) *yuccahinge.RequestRate { return &r }
+	announcement := func(wall int64, r *yuccahinge.RequestRate) yuccahinge.Notice {
+		return yuccahinge.Notice{Kind: yuccahinge.NoticeMaxRate, Key: "s1", MaxRate: r, Stamp: yuccahinge.Timestamp{Wall: wall}, TTLMs: 60_000}
+	}
+	var here, there Store
+	here.Add(0, announcement(5, rate(20)))
+	there.Add(0, announcement(5, rate(20)))
+	if !here.Add(1, announcement(6, nil)) || here.Add(2, announcement(5, rate(20))) || here.Add(3, announcement(6, nil)) {
+		t.Fatal("Add did not report the newest announcement as new exactly once")
+	}
+	if got := here.All(4); len(got) != 1 || got[0].MaxRate != nil {
+		t.Fatalf("All = %v, want the end of the rate only", got)
+	}
+	if here.Checksum(4) == there.Checksum(4) {
+		t.Error("the checksums are equal although one store has an older announcement")
+	}
+	if got := here.Delta(4, 9); len(got) != 1 || !there.Add(5, got[0]) || here.Checksum(5) != there.Checksum(5) {
+		t.Error("the announcement did not replace the older one in the other store")
+	}
+	for name, bad := range map[string]yuccahinge.Notice{
+		"no stamp":         announcement(0, nil),
+		"stamp far ahead":  announcement(1<<60, nil),
+		"negative stamp":   announcement(-1, nil),
+		"negative rate":    announcement(9, rate(-1)),
+		"drain with stamp": {Kind: yuccahinge.NoticeDraining, Key: "k", TTLMs: 1, Stamp: yuccahinge.Timestamp{Wall: 1}},
+		"drain with rate":  {Kind: yuccahinge.NoticeDraining, Key: "k", TTLMs: 1, MaxRate: rate(1)},
+	} {
+		if here.Add(6, bad) {
+			t.Errorf("%s: the notice was added", name)
+		}
+	}
+}
--- a/picker/balancer.go
+++ b/picker/balancer.go
@@ -11,8 +11,8 @@
 )
 
 // Balancer picks a replica by the power of two choices: of two random ones, the one with the shorter expected wait. It
-// implements yuccahinge.Picker, yuccahinge.AttemptObserver and yuccahinge.LatencyEstimator. The zero value is ready to
-// use, and its methods take no lock.
+// implements yuccahinge.Picker, yuccahinge.AttemptObserver, yuccahinge.LatencyEstimator and yuccahinge.RoomEstimator. The
+// zero value is ready to use, and its methods take no lock.
 type Balancer struct {
 	// Domain is this host's failure domain. CrossDomainMs is added to the expected wait of searchers in other domains.
 	Domain yuccahinge.DomainID
@@ -34,7 +34,7 @@
 	WatchDomains bool
 	// MaxEjectMs is the longest ejection of a searcher; zero means 16 s.
 	MaxEjectMs yuccahinge.Millis
-	// Limits is notified of the load report of each response; it may be nil.
+	// Limits keeps the calls within the maximum rates that searchers name; nil puts no such limit on them.
 	Limits yuccahinge.RateLimiter
 
 	searchers   sync.Map // of yuccahinge.SearcherID to *searcherStats
@@ -79,15 +79,60 @@
 	return float64(st.inFlight.Load())+st.callsOfOthers(now) < float64(max(s.Slots, 1))
 }
 
+// RoomIn implements yuccahinge.RoomEstimator. Ejected searchers count only if all others are ejected too.
+func (b *Balancer) RoomIn(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard) (yuccahinge.Millis, bool) {
+	if b.Limits == nil {
+		return 0, true
+	}
+	least, found, onlyEjected := yuccahinge.Millis(0), false, true
+	for _, id := range shard.Searchers {
+		s := ix.Searchers[id]
+		if s == nil {
+			continue
+		}
+		st := b.stats(id)
+		ejected := st.isEjected(now)
+		if !b.isCallable(now, ix, id, s, st) || ejected && !onlyEjected {
+			continue
+		}
+		wait := b.Limits.RoomIn(now, id, s, shard.Service)
+		if !found || wait < least || onlyEjected && !ejected {
+			least, found = wait, true
+		}
+		onlyEjected = onlyEjected && ejected
+	}
+	return least, found
+}
+
+// StartProbe reports whether this host may send a health check to a searcher of a service now, and counts it if so.
+func (b *Balancer) StartProbe(now yuccahinge.Millis, id yuccahinge.SearcherID, s *yuccahinge.Searcher, service yuccahinge.ServiceName) bool {
+	if b.Limits == nil {
+		return true
+	}
+	if b.Limits.RoomIn(now, id, s, service) > 0 {
+		return false
+	}
+	b.Limits.Started(now, id)
+	return true
+}
+
 // Started records the start of an attempt.
 func (b *Balancer) Started(now yuccahinge.Millis, id yuccahinge.SearcherID) {
 	b.stats(id).recordStart(now)
+	if b.Limits != nil {
+		b.Limits.Started(now, id)
+	}
 }
 
 // Ended records the result of an attempt.
 func (b *Balancer) Ended(now yuccahinge.Millis, id yuccahinge.SearcherID, res *yuccahinge.ShardResult) {
 	b.stats(id).recordEnd(now, res, b.maxEjectMs())
-	if report := res.LoadReport(); report != nil && b.Limits != nil {
+	if b.Limits == nil {
+		return
+	}
+	if res.DroppedInQueue() {
+		b.Limits.Unsent(now, now-res.Latency, id)
+	} else if report := res.LoadReport(); report != nil {
 		b.Limits.Observe(now, now-res.Latency, id, report)
 	}
 }
@@ -138,13 +183,7 @@
 			continue
 		}
 		st := b.stats(id)
-		if st.draining.Load() || (b.IsDraining != nil && b.IsDraining(id)) {
-			continue
-		}
-		if !b.mayHold(id, ix.Version) {
-			continue
-		}
-		if b.WatchDomains && b.watchDomain(st, s.Domain).isCut(now) {
+		if !b.isCallable(now, ix, id, s, st) || b.Limits != nil && b.Limits.RoomIn(now, id, s, shard.Service) > 0 {
 			continue
 		}
 		c := candidate{id: id, wait: st.expectedWait(now, s), local: s.Domain == b.Domain, ejected: st.isEjected(now), stats: st}
@@ -159,6 +198,16 @@
 	return out
 }
 
+// isCallable reports whether a searcher is not draining, may hold the version of the index and seems to be reachable.
+func (b *Balancer) isCallable(now yuccahinge.Millis, ix *yuccahinge.Index, id yuccahinge.SearcherID, s *yuccahinge.Searcher, st *searcherStats) bool {
+	switch {
+	case st.draining.Load(), b.IsDraining != nil && b.IsDraining(id), !b.mayHold(id, ix.Version):
+		return false
+	default:
+		return !b.WatchDomains || !b.watchDomain(st, s.Domain).isCut(now)
+	}
+}
+
 // mayHold reports whether a searcher may hold a version. One whose versions are unknown is assumed to hold it.
 func (b *Balancer) mayHold(id yuccahinge.SearcherID, v yuccahinge.IndexVersion) bool {
 	if b.HoldsVersion == nil {
--- a/policy.go
+++ b/policy.go
@@ -19,12 +19,25 @@
 	Ended(now Millis, id SearcherID, r *ShardResult)
 }
 
-// RateLimiter tracks the maximum request rates that searchers name.
+// RateLimiter keeps this host's calls to each searcher within its part of the maximum rate that the searcher names.
 type RateLimiter interface {
+	// RoomIn returns the delay until this host may send one more call to a searcher of the service; zero means now.
+	RoomIn(now Millis, id SearcherID, s *Searcher, service ServiceName) Millis
+	// Started counts a call to a searcher.
+	Started(now Millis, id SearcherID)
+	// Unsent reverts Started for a call that was started at the instant startedAt and never sent.
+	Unsent(now, startedAt Millis, id SearcherID)
 	// Observe records the load report of a response to a call that was sent at the instant sentAt.
 	Observe(now, sentAt Millis, id SearcherID, report *LoadReport)
 }
 
+// RoomEstimator tells when a shard has room for a call.
+type RoomEstimator interface {
+	// RoomIn returns the delay until a searcher of the shard may get one more call, zero if one may now, or false if
+	// none is available.
+	RoomIn(now Millis, ix *Index, shard *Shard) (Millis, bool)
+}
+
 // Hedger decides when a hedge, a second attempt at a slow shard, may start.
 type Hedger interface {
 	// Delay returns the delay of the hedge from the start of the first attempt, or false for no hedge.
--- a/ration/limiter.go
+++ b/ration/limiter.go
@@ -1,4 +1,6 @@
-// Package ration tracks the maximum request rates that searchers name in their responses.
+// Package ration keeps the calls to each searcher within the maximum request rate that the searcher names for all entry
+// hosts together. No host knows what the others send: all hosts divide the rate by the same rule, and each keeps to its
+// own part.
 package ration
 
 import (
@@ -8,32 +10,38 @@
 	"github.com/yuccahinge/yuccahinge"
 )
 
-// holdMs is how long a maximum rate stays in force after the last response that names it, even if others don't.
-const holdMs = 1 * yuccahinge.Second
+const (
+	// holdMs is how long a maximum rate stays in force after the last response that names it, even if others don't.
+	holdMs = 1 * yuccahinge.Second
+	// renewMs is the age of the last announcement of a maximum rate from which it is announced again.
+	renewMs = 20 * yuccahinge.Second
+	// forgetMs is the time without a confirmation after which a maximum rate is dropped, for searchers that no host
+	// calls any more.
+	forgetMs = 60 * yuccahinge.Second
+	// announceRatio is the relative change of a maximum rate from which it is announced again.
+	announceRatio = 0.1
+)
 
-// Limiter keeps the maximum rate of each searcher that names one. It implements yuccahinge.RateLimiter. The zero value is
-// ready to use and safe for concurrent use.
+// Limiter keeps this host's part of the maximum rate of each searcher that names one. It implements
+// yuccahinge.RateLimiter. Set the fields before the first use, and call SetHosts regularly: without hosts, this host has
+// no part. It is safe for concurrent use.
 type Limiter struct {
-	// OnChange, if set, is called with each change of a maximum rate.
+	Self yuccahinge.HostID
+	// IsShard reports whether a service is a shard of an index: strong hosts then hold larger parts, since they call
+	// its searchers for the others. Nil means that none is.
+	IsShard func(yuccahinge.ServiceName) bool
+	// Stamp returns the timestamp of an announcement; nil disables announcements.
+	Stamp func() yuccahinge.Timestamp
+	// OnChange, if set, is called with each change and announcement.
 	OnChange func(Change)
 
 	limited atomic.Int64 // the number of searchers with a maximum rate
 	mu      sync.Mutex
 	limits  map[yuccahinge.SearcherID]*limit
+	hosts   hostSet
 }
 
-// limit is the maximum rate of one searcher.
-type limit struct {
-	rate *yuccahinge.RequestRate // nil once the searcher has stopped naming one
-	// changedAt is the instant of the last change of rate, confirmedAt that of the last response that named it.
-	changedAt, confirmedAt yuccahinge.Millis
-	// malformed is the last text that could not be decoded.
-	malformed string
-	// calls counts the calls of this host by cause since the rate was first named.
-	calls map[string]int
-}
-
-// Change is a change of a searcher's maximum rate.
+// Change is a change of what this host knows about a searcher's maximum rate.
 type Change struct {
 	Searcher yuccahinge.SearcherID
 	// MaxRate is nil if the searcher has no maximum rate any more.
@@ -42,6 +50,12 @@
 	Malformed string
 	// Calls counts the calls of this host by cause while a maximum rate was in force, if it has ended.
 	Calls map[string]int
+	// Heard reports whether another host announced the change.
+	Heard bool
+	// Renewed reports whether a rate is announced again that has not changed.
+	Renewed bool
+	// Announcement is the notice for the other hosts; nil if they know already.
+	Announcement *yuccahinge.Notice
 }
 
 var _ yuccahinge.RateLimiter = (*Limiter)(nil)
@@ -49,88 +63,99 @@
 // Limited returns the number of searchers with a maximum rate.
 func (l *Limiter) Limited() int { return int(l.limited.Load()) }
 
-// CountCall counts a call to a searcher under its cause, and reports whether the searcher has a maximum rate.
-func (l *Limiter) CountCall(id yuccahinge.SearcherID, cause string) bool {
+// SetHosts sets the entry hosts that divide the rates among themselves, and drops the rates that were not confirmed for a
+// while.
+func (l *Limiter) SetHosts(now yuccahinge.Millis, hosts []Host) {
+	l.mu.Lock()
+	l.hosts.set(now, hosts)
+	var changes []Change
+	for id, e := range l.limits {
+		unconfirmed := now - max(e.confirmedAt, e.changedAt, e.announcedAt, e.malformedAt)
+		switch {
+		case e.rate != nil && (unconfirmed >= forgetMs || e.endAnnounced && now >= e.namedAt+holdMs):
+			changes = append(changes, l.end(now, id, e))
+		case e.rate == nil && unconfirmed >= forgetMs:
+			delete(l.limits, id)
+		}
+	}
+	l.mu.Unlock()
+	l.report(changes...)
+}
+
+// RoomIn implements yuccahinge.RateLimiter. For a host without a part it returns the mean time between two calls of all
+// hosts.
+func (l *Limiter) RoomIn(now yuccahinge.Millis, id yuccahinge.SearcherID, s *yuccahinge.Searcher, service yuccahinge.ServiceName) yuccahinge.Millis {
 	if l.limited.Load() == 0 {
-		return false
+		return 0
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.limits[id]
 	if e == nil || e.rate == nil {
-		return false
+		return 0
 	}
-	e.calls[cause]++
-	return true
+	e.kind = searcherKind{s.Domain, l.IsShard != nil && l.IsShard(service)}
+	l.refill(now, e)
+	return e.bucket.roomIn(*e.rate)
 }
 
-// Observe implements yuccahinge.RateLimiter.
-func (l *Limiter) Observe(now, sentAt yuccahinge.Millis, id yuccahinge.SearcherID, report *yuccahinge.LoadReport) {
-	if report.MaxRate == nil && report.MalformedMaxRate == "" && l.limited.Load() == 0 {
+// Started implements yuccahinge.RateLimiter.
+func (l *Limiter) Started(now yuccahinge.Millis, id yuccahinge.SearcherID) {
+	if l.limited.Load() == 0 {
 		return
 	}
-	if change := l.update(now, sentAt, id, report); change != nil && l.OnChange != nil {
-		l.OnChange(*change)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.limits[id]; e != nil && e.rate != nil {
+		l.refill(now, e)
+		e.bucket.tokens--
 	}
 }
 
-// update applies a load report and returns the change, or nil for none.
-func (l *Limiter) update(now, sentAt yuccahinge.Millis, id yuccahinge.SearcherID, report *yuccahinge.LoadReport) *Change {
+// Unsent implements yuccahinge.RateLimiter.
+func (l *Limiter) Unsent(now, startedAt yuccahinge.Millis, id yuccahinge.SearcherID) {
+	if l.limited.Load() == 0 {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e := l.limits[id]
-	switch {
-	case report.MalformedMaxRate != "":
-		return l.entry(id).setMalformed(id, report.MalformedMaxRate)
-	case report.MaxRate != nil:
-		return l.name(now, sentAt, id, *report.MaxRate)
-	case e == nil || e.rate == nil || sentAt < e.confirmedAt || now < e.confirmedAt+holdMs:
-		return nil
+	if e := l.limits[id]; e != nil && e.rate != nil && startedAt >= e.limitedSince {
+		l.refill(now, e)
+		e.bucket.tokens = min(e.bucket.tokens+1, e.bucket.part.burst)
 	}
-	e.rate = nil
-	e.changedAt = now
-	l.limited.Add(-1)
-	return &Change{Searcher: id, Calls: e.calls}
 }
 
-// entry returns the entry of a searcher, creating it if needed.
-func (l *Limiter) entry(id yuccahinge.SearcherID) *limit {
-	e := l.limits[id]
-	if e == nil {
-		e = &limit{}
-		if l.limits == nil {
-			l.limits = make(map[yuccahinge.SearcherID]*limit)
-		}
-		l.limits[id] = e
+// refill updates this host's part of the rate and adds the tokens earned since the last call.
+func (l *Limiter) refill(now yuccahinge.Millis, e *limit) {
+	e.bucket.refill(now)
+	basis := partBasis{l.hosts.version, l.hosts.settled(now), e.kind, *e.rate}
+	if e.basis != basis {
+		e.basis = basis
+		e.bucket.setPart(l.hosts.part(now, l.Self, e.kind, *e.rate))
 	}
-	return e
 }
 
-// setMalformed returns a change for a text that differs from the last one that could not be decoded.
-func (e *limit) setMalformed(id yuccahinge.SearcherID, text string) *Change {
-	if e.malformed == text {
-		return nil
+// CountCall counts a call to a searcher under its cause, and reports whether the searcher has a maximum rate.
+func (l *Limiter) CountCall(id yuccahinge.SearcherID, cause string) bool {
+	if l.limited.Load() == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.limits[id]
+	if e == nil || e.rate == nil {
+		return false
 	}
-	e.malformed = text
-	return &Change{Searcher: id, Malformed: text}
+	e.calls[cause]++
+	return true
 }
 
-// name records a maximum rate that a response named. A response to a request from before the last change is older than
-// that change.
-func (l *Limiter) name(now, sentAt yuccahinge.Millis, id yuccahinge.SearcherID, rate yuccahinge.RequestRate) *Change {
-	e := l.entry(id)
-	if e.changedAt > 0 && sentAt < e.changedAt && (e.rate == nil || *e.rate != rate) {
-		return nil
-	}
-	e.confirmedAt = now
-	if e.rate != nil && *e.rate == rate {
-		return nil
+// report calls OnChange without holding the lock.
+func (l *Limiter) report(changes ...Change) {
+	if l.OnChange == nil {
+		return
 	}
-	if e.rate == nil {
-		l.limited.Add(1)
-		e.calls = make(map[string]int)
+	for _, c := range changes {
+		l.OnChange(c)
 	}
-	e.rate = &rate
-	e.changedAt = now
-	return &Change{Searcher: id, MaxRate: &rate}
 }
