Refuse a request at once if another host has no room for its part

They were admitted because this host counted the shards that another host queries as having room; that host had none.

A host that has no room for a shard of a part now says when it expects some. The delegating host refuses requests that need the shard until then, with that time as Retry-After, and sends one request in each interval afterwards. The interval doubles while there is no room.

--- a/gather/part.go
+++ b/gather/part.go
@@ -22,6 +22,8 @@
 	Shard int `json:"shard"`
 	// Tried holds the searchers that were queried.
 	Tried []yuccahinge.SearcherID `json:"tried,omitempty"`
+	// RoomInMs is the delay until that host may call a searcher of the shard, if it could not call any for want of room.
+	RoomInMs yuccahinge.Millis `json:"roomInMs,omitempty"`
 }
 
 // PartResult is the result of the host that queried one part of Gather.Delegated. That host starts no further attempts for
@@ -43,7 +45,11 @@
 	}
 	for i := range g.shards {
 		if s := &g.shards[i]; s.reply == nil {
-			r.Lacking = append(r.Lacking, LackingShard{i, s.tried[:s.attemptsSent]})
+			lacking := LackingShard{Shard: i, Tried: s.tried[:s.attemptsSent]}
+			if g.Room != nil && s.attemptsSent == 0 {
+				lacking.RoomInMs, _ = g.Room.RoomIn(now, g.Index, s.spec)
+			}
+			r.Lacking = append(r.Lacking, lacking)
 		}
 	}
 	return r
--- a/gather/part_test.go
+++ b/gather/part_test.go
@@ -109,7 +109,7 @@
 func TestNoneRanWhenAllSearchersRefuse(t *testing.T) {
 	g, sent := newDelegating(newIndex(10, 1))
 	g.MinCoverage = 0 // so that the query does not end before the last refusal
-	lacking := []LackingShard{{0, []yuccahinge.SearcherID{"s6-0"}}, {1, []yuccahinge.SearcherID{"s7-0"}}, {2, []yuccahinge.SearcherID{"s8-0"}}, {3, []yuccahinge.SearcherID{"s9-0"}}}
+	lacking := []LackingShard{{Shard: 0, Tried: []yuccahinge.SearcherID{"s6-0"}}, {Shard: 1, Tried: []yuccahinge.SearcherID{"s7-0"}}, {Shard: 2, Tried: []yuccahinge.SearcherID{"s8-0"}}, {Shard: 3, Tried: []yuccahinge.SearcherID{"s9-0"}}}
 	g.HandlePart(10, 0, &PartResult{NoneRan: true, Lacking: lacking})
 	for _, a := range sent {
 		g.HandleResult(11, a.Attempt, failedResult(yuccahinge.NotRun, yuccahinge.ReasonRefused))
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -6,6 +6,7 @@
 	"context"
 	"math"
 	"strconv"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -89,6 +90,9 @@
 	ReturnMarginMs yuccahinge.Millis
 	// MaxDeadlineMs is the longest deadline that a caller may set; zero means 60 seconds.
 	MaxDeadlineMs yuccahinge.Millis
+
+	// partRooms holds a *partRoom for each partShard that another host could not call for want of room.
+	partRooms sync.Map
 }
 
 // Search runs one search. A partial answer is not an error. An answer with the outcome NotRun means that no searcher
--- a/internal/front/query/parts.go
+++ b/internal/front/query/parts.go
@@ -71,6 +71,7 @@
 	now := q.engine.now()
 	if p.err == nil && p.answer.PartResult != nil {
 		q.delegatedParts[p.partIndex].answer = p.answer
+		q.recordPartRoom(now, p.partIndex, p.answer.PartResult)
 		return q.gather.HandlePart(now, p.partIndex, p.answer.PartResult)
 	}
 	var e *yuccahinge.Error
--- a/internal/front/query/room.go
+++ b/internal/front/query/room.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"slices"
+	"sync"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/gather"
 	"github.com/yuccahinge/yuccahinge/internal/front/admit"
 )
 
@@ -12,6 +14,52 @@
 // callers do not all return for the same call.
 const maxRetrySpread = 2.0
 
+// partRoomMs is how long another host's want of room has an effect after it was last seen.
+const partRoomMs = 1 * yuccahinge.Second
+
+// partShard is a shard, by its service, that another host queries.
+type partShard struct {
+	host    string
+	service yuccahinge.ServiceName
+}
+
+// partRoom is what this host knows of the room of a partShard. It sends one request in each interval there, since requests
+// that come together would find room for one of them. The interval doubles while that host has no room for them.
+type partRoom struct {
+	mu       sync.Mutex
+	lackedAt yuccahinge.Millis // instant at which the other host last had no room
+	interval yuccahinge.Millis
+	nextAt   yuccahinge.Millis // instant from which the next request may be sent there
+}
+
+// roomIn returns the delay until the next request may be sent.
+func (r *partRoom) roomIn(now yuccahinge.Millis) yuccahinge.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now >= r.lackedAt+partRoomMs {
+		return 0
+	}
+	return max(0, r.nextAt-now)
+}
+
+// lacked records that the other host had no room and expects some after a delay.
+func (r *partRoom) lacked(now, wait yuccahinge.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now < r.lackedAt+partRoomMs {
+		wait = max(wait, 2*r.interval)
+	}
+	r.interval = min(wait, partRoomMs/2)
+	r.lackedAt, r.nextAt = now, now+r.interval
+}
+
+// sent records that a request is being sent.
+func (r *partRoom) sent(now yuccahinge.Millis) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.nextAt = now + r.interval
+}
+
 // checkRoom refuses a request that can't be answered within the maximum rates of the searchers, before a call is spent
 // on it.
 func (q *run) checkRoom(now yuccahinge.Millis, f *ForwardRequest) error {
@@ -20,6 +68,7 @@
 	}
 	wait := q.roomIn(now, f)
 	if wait == 0 {
+		q.countParts(now)
 		return nil
 	}
 	return &yuccahinge.Error{
@@ -36,35 +85,22 @@
 	return wait * yuccahinge.Millis(1+(maxRetrySpread-1)*admit.HashUnit(f.Request+"again"))
 }
 
-// roomIn returns the delay until enough shards have room for an answer, zero if they have it now or none of those
-// without room would have a searcher. Shards that other hosts query count as having room, since those hosts know.
+// roomIn returns the delay until enough shards have room for an answer. It is zero if they have it now, and if too few
+// shards have a searcher, which CanServe decides.
 func (q *run) roomIn(now yuccahinge.Millis, f *ForwardRequest) yuccahinge.Millis {
-	e := q.engine
-	if e.Room == nil {
+	if q.engine.Room == nil {
 		return 0
 	}
-	delegated := 0
-	for _, part := range q.gather.Delegated {
-		delegated += len(part)
-	}
-	isDelegated := func(i int) bool {
-		return slices.ContainsFunc(q.gather.Delegated, func(part []int) bool { return slices.Contains(part, i) })
-	}
-	needed := max(1, int(math.Ceil(f.Route.MinCoverage*float64(len(q.index.Shards))))) - delegated
+	needed := max(1, int(math.Ceil(f.Route.MinCoverage*float64(len(q.index.Shards)))))
 	var waits []yuccahinge.Millis
 	for i := range q.index.Shards {
-		if delegated > 0 && isDelegated(i) {
-			continue
-		}
-		wait, ok := e.Room.RoomIn(now, q.index, &q.index.Shards[i])
-		if !ok {
-			continue
-		}
-		if wait == 0 {
+		switch wait, ok := q.shardRoomIn(now, i); {
+		case !ok:
+		case wait > 0:
+			waits = append(waits, wait)
+		default:
 			needed--
-			continue
 		}
-		waits = append(waits, wait)
 	}
 	if needed <= 0 || needed > len(waits) {
 		return 0
@@ -72,3 +108,43 @@
 	slices.Sort(waits)
 	return waits[needed-1]
 }
+
+// shardRoomIn returns the delay until a shard has room, or false if it has no searcher. A shard that another host queries
+// has room unless that host has said otherwise.
+func (q *run) shardRoomIn(now yuccahinge.Millis, i int) (yuccahinge.Millis, bool) {
+	shard := &q.index.Shards[i]
+	for n := range q.delegatedParts {
+		part := &q.delegatedParts[n]
+		if slices.Contains(part.Shards, i) {
+			if v, ok := q.engine.partRooms.Load(partShard{part.Host.ID, shard.Service}); ok {
+				return v.(*partRoom).roomIn(now), true
+			}
+			return 0, true
+		}
+	}
+	return q.engine.Room.RoomIn(now, q.index, shard)
+}
+
+// countParts records that the parts of the request are being sent.
+func (q *run) countParts(now yuccahinge.Millis) {
+	for n := range q.delegatedParts {
+		part := &q.delegatedParts[n]
+		for _, i := range part.Shards {
+			if v, ok := q.engine.partRooms.Load(partShard{part.Host.ID, q.index.Shards[i].Service}); ok {
+				v.(*partRoom).sent(now)
+			}
+		}
+	}
+}
+
+// recordPartRoom records which shards of a part its host could not call for want of room.
+func (q *run) recordPartRoom(now yuccahinge.Millis, n int, r *gather.PartResult) {
+	part := &q.delegatedParts[n]
+	for _, l := range r.Lacking {
+		if l.RoomInMs > 0 && l.Shard >= 0 && l.Shard < len(part.Shards) {
+			key := partShard{part.Host.ID, q.index.Shards[part.Shards[l.Shard]].Service}
+			v, _ := q.engine.partRooms.LoadOrStore(key, new(partRoom))
+			v.(*partRoom).lacked(now, l.RoomInMs)
+		}
+	}
+}
--- a/internal/front/query/room_test.go
+++ b/internal/front/query/room_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/gather"
+	"github.com/yuccahinge/yuccahinge/internal/front/split"
 )
 
 // fakeRoom gives the delay until each shard has room; a negative one means that no searcher is available.
@@ -93,8 +95,26 @@
 	if wait := q.roomIn(1, f); wait != 500 {
 		t.Errorf("room in %v ms, want 500 ms", wait)
 	}
-	q.gather.Delegated = [][]int{{2, 3}}
+	q.delegatedParts = []part{{Part: split.Part{Shards: []int{2, 3}}}}
 	if wait := q.roomIn(1, f); wait != 0 {
 		t.Errorf("room in %v ms, want now", wait)
 	}
+	ix.Shards[3].Service = "limited"
+	q.recordPartRoom(1, 0, &gather.PartResult{Lacking: []gather.LackingShard{{Shard: 1, RoomInMs: 70}, {Shard: 9, RoomInMs: 5}, {Shard: 0}}})
+	if wait := q.roomIn(11, f); wait != 60 {
+		t.Errorf("room in %v ms after the other host had none for another 60 ms", wait)
+	}
+	if err := q.checkRoom(72, f); err != nil {
+		t.Errorf("%v once the other host has room", err)
+	}
+	if wait := q.roomIn(75, f); wait != 67 {
+		t.Errorf("room in %v ms just after another request was sent there, want 67 ms", wait)
+	}
+	q.recordPartRoom(80, 0, &gather.PartResult{Lacking: []gather.LackingShard{{Shard: 1, RoomInMs: 70}}})
+	if wait := q.roomIn(80, f); wait != 140 {
+		t.Errorf("room in %v ms after the other host had none again, want twice 70 ms", wait)
+	}
+	if wait := q.roomIn(80+partRoomMs, f); wait != 0 {
+		t.Errorf("room in %v ms a second after the other host had none", wait)
+	}
 }
--- a/internal/trial/chaos/environment.go
+++ b/internal/trial/chaos/environment.go
@@ -34,6 +34,7 @@
 
 	mu        sync.Mutex
 	searchers []*searcher
+	removed   []*searcher
 }
 
 // searcher is a searcher instance behind a link that injects network faults.
@@ -47,7 +48,7 @@
 	startedMs int64
 
 	ratesMu     sync.Mutex
-	ratePeriods []ratePeriod // the periods that have ended
+	ratePeriods []ratePeriod
 }
 
 func newEnvironment(ctx context.Context) (*environment, error) {
@@ -156,6 +157,8 @@
 	for i, other := range e.searchers {
 		if other == s {
 			e.searchers = append(e.searchers[:i], e.searchers[i+1:]...)
+			e.removed = append(e.removed, s)
+			s.setMaxRate("")
 			e.store.DeleteSearcher(s.server.ID)
 			return
 		}
@@ -175,6 +178,19 @@
 	return e.searchers[0]
 }
 
+// checkRates reports the searchers that got more requests than the maximum rates that they named.
+func (e *environment) checkRates(c *checker) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, list := range [][]*searcher{e.searchers, e.removed} {
+		for _, s := range list {
+			for _, v := range s.rateViolations() {
+				c.addViolation(v)
+			}
+		}
+	}
+}
+
 // clearFaults ends the faults of the platform and of all searchers.
 func (e *environment) clearFaults() {
 	e.store.SetDown(false)
@@ -186,6 +202,7 @@
 }
 
 func (s *searcher) clearFaults() {
+	s.setMaxRate("")
 	s.server.SetSlowFactor(1)
 	s.server.SetShedEvery(0)
 	s.server.SetNoReply(false)
--- a/internal/trial/chaos/maxrate.go
+++ b/internal/trial/chaos/maxrate.go
@@ -16,22 +16,26 @@
 	rateSlack     = 5
 )
 
-// ratePeriod is the time during which a searcher names one maximum rate, in requests per second.
+// ratePeriod is the time during which a searcher names one maximum rate, in requests per second. The end is zero while it
+// does.
 type ratePeriod struct {
 	from, to time.Time
 	rate     float64
 }
 
-// nameMaxRate lets a searcher name a maximum rate until the returned function is called.
-func (s *searcher) nameMaxRate(rate float64) (end func()) {
-	from := time.Now()
-	s.server.SetMaxRate(strconv.FormatFloat(rate, 'f', -1, 64))
-	return func() {
-		s.ratesMu.Lock()
-		defer s.ratesMu.Unlock()
-		s.ratePeriods = append(s.ratePeriods, ratePeriod{from, time.Now(), rate})
-		s.server.SetMaxRate("")
+// setMaxRate lets a searcher name a maximum rate from now on, or none if text is empty. A text that is no decimal number
+// does not count as a rate.
+func (s *searcher) setMaxRate(text string) {
+	s.ratesMu.Lock()
+	defer s.ratesMu.Unlock()
+	now := time.Now()
+	if n := len(s.ratePeriods); n > 0 && s.ratePeriods[n-1].to.IsZero() {
+		s.ratePeriods[n-1].to = now
+	}
+	if rate, err := strconv.ParseFloat(text, 64); err == nil && rate >= 0 {
+		s.ratePeriods = append(s.ratePeriods, ratePeriod{from: now, rate: rate})
 	}
+	s.server.SetMaxRate(text)
 }
 
 // rateViolations compares the requests that arrived with the maximum rates that the searcher named.
