--- a/cmd/soak/world/attempt.go
+++ b/cmd/soak/world/attempt.go
@@ -34,6 +34,7 @@
 	}
 	a.sentAt = w.now()
 	h.attempts = append(h.attempts, a)
+	w.check.checkRate(h, s)
 	h.note(a.key(), "sends attempt %d at shard %d to %s", a.id, a.request.Shard, s.id)
 	w.queue.At(a.deadline, h, a.timeout)
 	if !s.isAlive {
@@ -103,6 +104,7 @@
 	if r.Reply == nil {
 		return
 	}
+	h.w.check.recordTold(h, a.searcher, &r.Reply.Load)
 	h.observeReport(a.sentAt, &r.Reply.Load)
 	if r.Outcome == yuccahinge.NotRun && r.Reason == yuccahinge.ReasonVersionUnavailable {
 		h.versions.RecordMissing(a.searcher.id, a.request.IndexVersion)
--- a/cmd/soak/world/breaks.go
+++ b/cmd/soak/world/breaks.go
@@ -23,6 +23,7 @@
 	LeaveAtOnce       Break = "leaveAtOnce"
 	ClaimCoverage     Break = "claimCoverage"
 	DropCoverage      Break = "dropCoverage"
+	IgnoreMaxRate     Break = "ignoreMaxRate"
 )
 
 // BreakInfo describes a break and how it is found.
@@ -54,6 +55,7 @@
 		{LeaveAtOnce, "a host that shall leave exits at once", []Invariant{DrainWhole}},
 		{ClaimCoverage, "an answer passes over the shards that it lacks", []Invariant{Coverage}},
 		{DropCoverage, "an answer forgets one of the shards that it lacks", []Invariant{Coverage}},
+		{IgnoreMaxRate, "hosts ignore the maximum rates that searchers name", []Invariant{MaxRate}},
 	}
 }
 
--- a/cmd/soak/world/faults.go
+++ b/cmd/soak/world/faults.go
@@ -48,7 +48,7 @@
 		w.cutDomains, w.cutHost, w.cutHost, w.cutHosts, w.cutPlatform, w.cutPlatform,
 		w.stopPlatform, w.stalePlatform, w.rollBackPlatform, w.rollBackPlatform, w.delayMemberList,
 		w.degradeNetwork,
-		w.killSearcher, w.killChargeSearcher, w.killChargeSearcher, w.freezeChargeSearcher, w.freezeChargeSearcher, w.drainSearcher, w.drainSearcher, w.drainChargeSearcher, w.freezeSearcher, w.slowSearcher, w.slowAllSearchers, w.slowAllSearchers, w.slowAllSearchers, w.shedSearcher, w.misreportLoad,
+		w.killSearcher, w.killChargeSearcher, w.killChargeSearcher, w.freezeChargeSearcher, w.freezeChargeSearcher, w.drainSearcher, w.drainSearcher, w.drainChargeSearcher, w.freezeSearcher, w.slowSearcher, w.slowAllSearchers, w.slowAllSearchers, w.slowAllSearchers, w.shedSearcher, w.misreportLoad, w.limitSearcher, w.limitSearcher,
 	}
 }
 
--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -9,10 +9,12 @@
 	"github.com/yuccahinge/yuccahinge/depart"
 	"github.com/yuccahinge/yuccahinge/drain"
 	"github.com/yuccahinge/yuccahinge/hedge"
+	"github.com/yuccahinge/yuccahinge/hybrid"
 	"github.com/yuccahinge/yuccahinge/limit"
 	"github.com/yuccahinge/yuccahinge/notice"
 	"github.com/yuccahinge/yuccahinge/picker"
 	"github.com/yuccahinge/yuccahinge/poison"
+	"github.com/yuccahinge/yuccahinge/ration"
 	"github.com/yuccahinge/yuccahinge/roster"
 	"github.com/yuccahinge/yuccahinge/spread"
 	"github.com/yuccahinge/yuccahinge/swap"
@@ -45,6 +47,8 @@
 	versions     swap.Versions
 	drainTracker *depart.Tracker
 	notices      notice.Store
+	rates        ration.Limiter
+	stamps       hybrid.Clock
 	limiter      limit.Limiter
 	quarantine   poison.Quarantine
 	hedger       hedge.Policy
@@ -121,6 +125,7 @@
 	seed := w.rand.Uint64()
 	h.roster = roster.Roster{Self: self, Seed: seed}
 	h.node = spread.Node{Self: h.id, Domain: h.domain, Seed: seed, IntervalMs: exchangeIntervalMs}
+	h.startRates()
 	h.balancer = h.newBalancer()
 	h.claims = claim.Table{Owner: h.id, Incarnation: self.Incarnation, TTL: 10 * yuccahinge.Second, Retention: 20 * yuccahinge.Second}
 	h.claims.Seed[0] = byte(seed)
@@ -133,7 +138,11 @@
 }
 
 func (h *host) newBalancer() *picker.Balancer {
-	return &picker.Balancer{Domain: h.domain, Seed: h.roster.Seed, IsDraining: h.isDraining, HoldsVersion: h.versions.Holds}
+	b := &picker.Balancer{Domain: h.domain, Seed: h.roster.Seed, IsDraining: h.isDraining, HoldsVersion: h.versions.Holds}
+	if !h.w.hasBreak(IgnoreMaxRate) {
+		b.Limits = &h.rates
+	}
+	return b
 }
 
 func (h *host) endpoint() endpoint { return endpoint{string(h.id), h.domain, true} }
@@ -185,6 +194,7 @@
 	h.lastTick = now
 	h.noteRosterChanges(h.roster.Tick(now))
 	h.notices.Expire(now)
+	h.updateRateHosts(now)
 	h.node.SetMembers(now, h.roster.Members())
 	if now >= h.nextList {
 		h.nextList = now + listIntervalMs
--- a/cmd/soak/world/notice.go
+++ b/cmd/soak/world/notice.go
@@ -49,6 +49,8 @@
 		}
 	case yuccahinge.NoticePoisoned, yuccahinge.NoticeSuspect:
 		h.quarantine.ApplyNotice(now, n)
+	case yuccahinge.NoticeMaxRate:
+		h.learnRate(&n)
 	}
 	h.pushNotices(now)
 }
@@ -123,12 +125,17 @@
 func (h *host) poll(s *searcher) {
 	w := h.w
 	sentAt := w.now()
+	if !h.balancer.StartProbe(sentAt, s.id, s.spec(), s.service) {
+		return
+	}
+	w.check.checkRate(h, s)
 	w.send(queryPath, h.endpoint(), s.endpoint(), s, func() {
 		if !s.isAlive {
 			return
 		}
 		r := s.polledReport()
 		w.send(replyPath, s.endpoint(), h.endpoint(), h, func() {
+			w.check.recordTold(h, s, &r)
 			h.observeReport(sentAt, &r)
 			h.balancer.RecordReport(w.now(), s.id, &r)
 		})
--- a/cmd/soak/world/searcher.go
+++ b/cmd/soak/world/searcher.go
@@ -31,6 +31,8 @@
 	slowFaults      int
 	shedFaults      int
 	misreportFaults int
+	// rated is set while the searcher names a maximum rate.
+	rated *ratedCalls
 }
 
 // job is a query or charge that a searcher runs.
@@ -124,6 +126,9 @@
 		Running:     len(s.running),
 		Draining:    s.isDraining,
 	}
+	if s.rated != nil {
+		r.MaxRate = &s.rated.rate
+	}
 	for v := range s.versionReadyAt {
 		if s.holds(v) {
 			r.Versions = append(r.Versions, v)
--- a/cmd/soak/world/violation.go
+++ b/cmd/soak/world/violation.go
@@ -36,6 +36,8 @@
 	DrainWhole Invariant = "drainWhole"
 	// TicketPropagated: a ticket that a connected host has had readable or in force for 8 s is in force.
 	TicketPropagated Invariant = "inForce"
+	// MaxRate: the hosts together keep to the maximum rate that a searcher names.
+	MaxRate Invariant = "maxRate"
 	// NoPartFailure: no decision package reports a broken invariant of its own.
 	NoPartFailure Invariant = "parts"
 )
--- a/internal/trial/chaos/fault.go
+++ b/internal/trial/chaos/fault.go
@@ -38,6 +38,8 @@
 			x.enableFor(ctx, s.server.ID+" sheds", span, func(on bool) { s.server.SetShedEvery(valueIf(on, 3, 0)) })
 		},
 		func() { x.enableFor(ctx, s.server.ID+" does not reply", span, s.server.SetNoReply) },
+		func() { x.limitSearcher(ctx, s) },
+		func() { x.limitSearcher(ctx, s) },
 		func() { x.logf("configuration"); x.env.publishConfig() },
 		func() { x.reloadSettings(h, x.rand.IntN(3)) },
 	}
@@ -116,6 +118,23 @@
 	})
 }
 
+// limitSearcher lets a searcher name a maximum rate, for long enough that the requests to it are checked, and change or
+// misspell it meanwhile in some cases.
+func (x *Experiment) limitSearcher(ctx context.Context, s *searcher) {
+	rate := []string{"0", "0.5", "3", "12", "40"}[x.rand.IntN(5)]
+	next := []string{rate, rate, "25", "1", "-1", "NaN", ""}[x.rand.IntN(7)]
+	first := contactTime + time.Duration(x.rand.IntN(4000))*time.Millisecond
+	second := time.Duration(x.rand.IntN(9000)) * time.Millisecond
+	x.logf("%s of %s names a maximum rate of %s for %v, then %q for %v", s.server.ID, s.server.Service, rate, first, next, second)
+	s.setMaxRate(rate)
+	go func() {
+		sleep(ctx, first)
+		s.setMaxRate(next)
+		sleep(ctx, second)
+		s.setMaxRate("")
+	}()
+}
+
 // crashSearcher stops a searcher at once, without a drain period. A new searcher replaces it after the span.
 func (x *Experiment) crashSearcher(ctx context.Context, s *searcher, span time.Duration) {
 	x.logf("crash %s of %s", s.server.ID, s.server.Service)
--- a/internal/trial/standin/server/faults.go
+++ b/internal/trial/standin/server/faults.go
@@ -41,6 +41,8 @@
 	Versions []yuccahinge.IndexVersion `json:"versions,omitempty"`
 	// Shed refuses every request with outcome notRun and reason shed.
 	Shed bool `json:"shed,omitempty"`
+	// MaxRate is the maximum request rate that load reports name; nil names none.
+	MaxRate *yuccahinge.RequestRate `json:"maxRate,omitempty"`
 }
 
 // ControlRequest is the body of POST /control: faults that stay until changed, and one-time actions.
--- a/internal/trial/standin/server/load.go
+++ b/internal/trial/standin/server/load.go
@@ -52,6 +52,7 @@
 		Queued:      queued,
 		Draining:    f.Drain,
 		Versions:    f.Versions,
+		MaxRate:     f.MaxRate,
 	}
 }
 
--- a/internal/trial/standin/server/searcher_test.go
+++ b/internal/trial/standin/server/searcher_test.go
@@ -243,3 +243,16 @@
 func (d *discardWriter) Header() http.Header         { return d.header }
 func (d *discardWriter) Write(b []byte) (int, error) { return len(b), nil }
 func (d *discardWriter) WriteHeader(int)             {}
+
+func TestLoadReportsNameTheMaxRate(t *testing.T) {
+	s := startSearcher(t, Config{MedianMs: 1})
+	client := newClient(t, false)
+	for body, want := range map[string]bool{`{"maxRate":2.5}`: true, `{"maxRate":null}`: false} {
+		r, _ := http.NewRequest(http.MethodPost, "/control", strings.NewReader(body))
+		s.ControlHandler().ServeHTTP(&discardWriter{header: http.Header{}}, r)
+		var reply yuccahinge.ShardReply
+		if _, err := post(t.Context(), client, s, "/v1/query", newRequest("q"), &reply); err != nil || (reply.Load.MaxRate != nil) != want {
+			t.Errorf("%s: load report %+v, error %v", body, reply.Load, err)
+		}
+	}
+}
