Use the load report of failures, and don't take them for silence

Found while looking for other things that searchers tell and hosts heed on one path only: the picker used the load report of replies and refusals, not of failures, and a searcher that answers with failures while one call is slow counted as silent after 500 ms. Only a probe ends that, while an ejection for failures ends by itself. No caller is known to have been hurt.

The test failed before with "silent true, ejected true, want it ejected for its failures only" and "the searcher has a free slot although it reports five calls at two slots".

--- a/picker/errors_test.go
+++ b/picker/errors_test.go
@@ -29,3 +29,29 @@
 		t.Fatal("the searcher gets no calls 20 s after its last refusal")
 	}
 }
+
+// TestFailureResponseIsHeeded guards against a searcher that counts as silent although it responds, with failures, and
+// against a load report that is used only if the response is a success.
+func TestFailureResponseIsHeeded(t *testing.T) {
+	bal := &Balancer{Domain: "d"}
+	ix := index(1)
+	now := yuccahinge.Millis(1)
+	failed := yuccahinge.ShardResult{
+		Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonFailed, Latency: 5,
+		ReportWithoutReply: &yuccahinge.LoadReport{Incarnation: "i", Running: 2, Queued: 3},
+	}
+	// One call is in flight all the time.
+	bal.Started(now, "s0")
+	for range 2000 {
+		now++
+		bal.Started(now, "s0")
+		bal.Ended(now, "s0", &failed)
+	}
+	st := bal.stats("s0")
+	if st.isSilent(now) || !st.isEjected(now) {
+		t.Errorf("silent %t, ejected %t, want it ejected for its failures only", st.isSilent(now), st.isEjected(now))
+	}
+	if bal.HasRoom(now, "s0", ix.Searchers["s0"]) {
+		t.Error("the searcher has a free slot although it reports five calls at two slots")
+	}
+}
--- a/picker/stat.go
+++ b/picker/stat.go
@@ -99,10 +99,10 @@
 		s.recordUnsent(left)
 		return
 	}
-	if r.Reply == nil {
+	if report := r.LoadReport(); report == nil {
 		s.endedUnanswered.Store(true)
 	} else {
-		s.recordReport(now, &r.Reply.Load)
+		s.recordReport(now, report)
 		s.recordReply(now)
 	}
 	s.updateErrorShare(now, r)
