Heed a maximum rate that some responses leave out, and report small changes less

- A searcher that names a rate in one response and not in the next ended it for all hosts again and again; each time they sent all they had until the next response with the rate.
If a rate begins again within 30 s of its end, the next end now needs twice as many responses without it, up to eight.
- A rate that changes a little with each response logged an event each time.
- While no searcher is limited, requests skip the check of the shards' room.
- What other hosts say of their room is kept by failure domain, so that it does not grow as hosts come and go.

--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -91,7 +91,7 @@
 	// MaxDeadlineMs is the longest deadline that a caller may set; zero means 60 seconds.
 	MaxDeadlineMs yuccahinge.Millis
 
-	// partRooms holds a *partRoom for each partShard that another host could not call for want of room.
+	// partRooms holds a *partRoom for each partShard that a host could not call for want of room.
 	partRooms sync.Map
 }
 
--- a/internal/front/query/room.go
+++ b/internal/front/query/room.go
@@ -17,9 +17,9 @@
 // partRoomMs is how long another host's want of room has an effect after it was last seen.
 const partRoomMs = 1 * yuccahinge.Second
 
-// partShard is a shard, by its service, that another host queries.
+// partShard is a shard, by its service, that hosts of another failure domain query.
 type partShard struct {
-	host    string
+	domain  yuccahinge.DomainID
 	service yuccahinge.ServiceName
 }
 
@@ -116,7 +116,7 @@
 	for n := range q.delegatedParts {
 		part := &q.delegatedParts[n]
 		if slices.Contains(part.Shards, i) {
-			if v, ok := q.engine.partRooms.Load(partShard{part.Host.ID, shard.Service}); ok {
+			if v, ok := q.engine.partRooms.Load(partShard{part.Host.Domain, shard.Service}); ok {
 				return v.(*partRoom).roomIn(now), true
 			}
 			return 0, true
@@ -130,7 +130,7 @@
 	for n := range q.delegatedParts {
 		part := &q.delegatedParts[n]
 		for _, i := range part.Shards {
-			if v, ok := q.engine.partRooms.Load(partShard{part.Host.ID, q.index.Shards[i].Service}); ok {
+			if v, ok := q.engine.partRooms.Load(partShard{part.Host.Domain, q.index.Shards[i].Service}); ok {
 				v.(*partRoom).sent(now)
 			}
 		}
@@ -142,7 +142,7 @@
 	part := &q.delegatedParts[n]
 	for _, l := range r.Lacking {
 		if l.RoomInMs > 0 && l.Shard >= 0 && l.Shard < len(part.Shards) {
-			key := partShard{part.Host.ID, q.index.Shards[part.Shards[l.Shard]].Service}
+			key := partShard{part.Host.Domain, q.index.Shards[part.Shards[l.Shard]].Service}
 			v, _ := q.engine.partRooms.LoadOrStore(key, new(partRoom))
 			v.(*partRoom).lacked(now, l.RoomInMs)
 		}
--- a/internal/host/rates/rates.go
+++ b/internal/host/rates/rates.go
@@ -37,7 +37,7 @@
 	if c.Announcement != nil {
 		r.Gossip.Broadcast(*c.Announcement)
 	}
-	if c.Renewed {
+	if c.Minor {
 		return
 	}
 	e := yuccahinge.Event{Code: event.SearcherUnlimited, Searcher: c.Searcher, Detail: fmt.Sprintf("calls %v", c.Calls)}
--- a/picker/balancer.go
+++ b/picker/balancer.go
@@ -81,7 +81,7 @@
 
 // RoomIn implements yuccahinge.RoomEstimator. Ejected searchers count only if all others are ejected too.
 func (b *Balancer) RoomIn(now yuccahinge.Millis, ix *yuccahinge.Index, shard *yuccahinge.Shard) (yuccahinge.Millis, bool) {
-	if b.Limits == nil {
+	if b.Limits == nil || b.Limits.Limited() == 0 {
 		return 0, true
 	}
 	least, found, onlyEjected := yuccahinge.Millis(0), false, true
--- a/picker/room_test.go
+++ b/picker/room_test.go
@@ -12,6 +12,8 @@
 	observed int
 }
 
+func (f *fakeLimits) Limited() int { return len(f.left) }
+
 func (f *fakeLimits) RoomIn(_ yuccahinge.Millis, id yuccahinge.SearcherID, _ *yuccahinge.Searcher, _ yuccahinge.ServiceName) yuccahinge.Millis {
 	if n, ok := f.left[id]; ok && n <= 0 {
 		return yuccahinge.Millis(100 - 10*n)
--- a/policy.go
+++ b/policy.go
@@ -21,6 +21,8 @@
 
 // RateLimiter keeps this host's calls to each searcher within its part of the maximum rate that the searcher names.
 type RateLimiter interface {
+	// Limited returns the number of searchers with a maximum rate.
+	Limited() int
 	// RoomIn returns the delay until this host may send one more call to a searcher of the service; zero means now.
 	RoomIn(now Millis, id SearcherID, s *Searcher, service ServiceName) Millis
 	// Started counts a call to a searcher.
@@ -34,7 +36,7 @@
 // RoomEstimator tells when a shard has room for a call.
 type RoomEstimator interface {
 	// RoomIn returns the delay until a searcher of the shard may get one more call, zero if one may now, or false if
-	// none is available.
+	// none is available. While no searcher has a maximum rate, every shard has room.
 	RoomIn(now Millis, ix *Index, shard *Shard) (Millis, bool)
 }
 
--- a/ration/division_test.go
+++ b/ration/division_test.go
@@ -37,6 +37,8 @@
 	arrivals []yuccahinge.Millis
 	target   yuccahinge.Searcher
 	stamp    int64
+	// omitShare is the share of the responses that leave the rate out.
+	omitShare float64
 }
 
 type simHost struct {
@@ -141,7 +143,11 @@
 	h.limiter.Started(f.now, searcher)
 	h.calls++
 	f.arrivals = append(f.arrivals, f.now)
-	f.inFlight = append(f.inFlight, delivery{at: f.now + responseMs, sentAt: f.now, to: h, report: &yuccahinge.LoadReport{MaxRate: f.rate}})
+	report := &yuccahinge.LoadReport{MaxRate: f.rate}
+	if f.omitShare > f.rng.Float64() {
+		report.MaxRate = nil
+	}
+	f.inFlight = append(f.inFlight, delivery{at: f.now + responseMs, sentAt: f.now, to: h, report: report})
 }
 
 func (f *fleet) deliver() {
@@ -433,7 +439,7 @@
 	if l.Limited() != 1 {
 		t.Fatal("an announcement ended a rate that a response had just named")
 	}
-	f.hosts[0].limiter.SetHosts(f.now+holdMs+100, []Host{f.hosts[0].Host})
+	f.hosts[0].limiter.SetHosts(f.now+yuccahinge.Second+100, []Host{f.hosts[0].Host})
 	if l.Limited() != 0 {
 		t.Error("the rate is still in force a second after the last response with it")
 	}
@@ -459,3 +465,33 @@
 		t.Error("the rate is in force after the newest announcement has ended it")
 	}
 }
+
+// TestRateThatSomeResponsesLeaveOut guards against hosts that send what they have each time that a response leaves the rate
+// out, and tell all others to do so. Each host gets a few responses a second, half of them without the rate.
+func TestRateThatSomeResponsesLeaveOut(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		rate  yuccahinge.RequestRate
+	}{{8, 2}, {8, 20}, {200, 20}} {
+		f := newFleet(t, c.hosts)
+		f.omitShare = 0.5
+		f.setRate(c.rate)
+		f.run(40*yuccahinge.Second, 400)
+		settled := f.now
+		f.run(30*yuccahinge.Second, 400)
+		f.checkBound(settled, c.rate, fmt.Sprint(c.hosts, " hosts"))
+		f.setRate(-1)
+		f.run(40*yuccahinge.Second, 400)
+		if n := f.limitedHosts(); n > 0 {
+			t.Errorf("%d hosts, rate %g: %d hosts still keep to the rate after its end", c.hosts, c.rate, n)
+		}
+	}
+}
+
+func (f *fleet) limitedHosts() int {
+	n := 0
+	for _, h := range f.hosts {
+		n += h.limiter.Limited()
+	}
+	return n
+}
--- a/ration/limit.go
+++ b/ration/limit.go
@@ -17,7 +17,10 @@
 	announced   *yuccahinge.RequestRate
 	announcedAt yuccahinge.Millis
 	stamp       yuccahinge.Timestamp
-	// endAnnounced is set if another host announced the end of a rate that a response named less than holdMs before.
+	// patience is the number of responses in a row without a rate, and the number of seconds since the last one with it,
+	// from which the rate ends. omitted counts the responses.
+	patience, omitted int
+	// endAnnounced is set if another host announced the end of a rate that a response has named recently.
 	endAnnounced bool
 	// malformed is the last text that could not be decoded.
 	malformed   string
@@ -97,21 +100,25 @@
 	}
 	e.confirmedAt, e.namedAt = now, now
 	e.endAnnounced = false
+	e.omitted = 0
 	if changed {
 		l.setRate(now, e, rate)
 	}
-	c := Change{Searcher: id, MaxRate: e.rate, Renewed: !changed}
-	if e.isNews(now) {
-		c.Announcement = l.announce(now, id, e)
+	c := Change{Searcher: id, MaxRate: e.rate, Minor: !e.differs()}
+	if c.Minor && now < e.announcedAt+renewMs {
+		return c, false
 	}
-	return c, changed || c.Announcement != nil
+	c.Announcement = l.announce(now, id, e)
+	return c, true
 }
 
-// handleOmitted applies a response without a rate. It ends the rate in force if its request was sent after the last
-// confirmation and that is at least holdMs old.
+// handleOmitted applies a response without a rate, unless its request was sent before the last confirmation of the rate.
 func (l *Limiter) handleOmitted(now, sentAt yuccahinge.Millis, id yuccahinge.SearcherID) (Change, bool) {
 	e := l.limits[id]
-	if e == nil || e.rate == nil || sentAt < e.confirmedAt || now < e.confirmedAt+holdMs {
+	if e == nil || e.rate == nil || sentAt < e.confirmedAt {
+		return Change{}, false
+	}
+	if e.omitted++; e.omitted < e.patience || now < e.confirmedAt+e.holdMs() {
 		return Change{}, false
 	}
 	c := l.end(now, id, e)
@@ -121,7 +128,7 @@
 	return c, true
 }
 
-// Learn applies the announcement of another host. A rate that a response has named within holdMs stays in force.
+// Learn applies the announcement of another host. A rate that a response has named recently stays in force.
 func (l *Limiter) Learn(now yuccahinge.Millis, n *yuccahinge.Notice) {
 	id := yuccahinge.SearcherID(n.Key)
 	l.mu.Lock()
@@ -131,7 +138,7 @@
 		return
 	}
 	e.stamp, e.announced, e.announcedAt = n.Stamp, n.MaxRate, now
-	named := e.rate != nil && now < e.namedAt+holdMs
+	named := e.rate != nil && now < e.namedAt+e.holdMs()
 	var changes []Change
 	switch {
 	case n.MaxRate == nil && e.rate != nil && named:
@@ -157,6 +164,7 @@
 		l.limited.Add(1)
 		e.calls = make(map[string]int)
 		e.limitedSince = now
+		e.updatePatience(now)
 		e.bucket, e.basis = tokens{refilledAt: now}, partBasis{}
 	}
 	e.rate = &rate
@@ -172,20 +180,31 @@
 	return Change{Searcher: id, Calls: e.calls}
 }
 
-// isNews reports whether the other hosts should hear of the rate: they don't know it, it has changed much, or the last
-// announcement is old.
-func (e *limit) isNews(now yuccahinge.Millis) bool {
-	if e.announced == nil || now >= e.announcedAt+renewMs {
-		return true
+// updatePatience sets the patience for a rate that begins: more if the last one has just ended, because some responses of
+// the searcher then name a rate and others don't.
+func (e *limit) updatePatience(now yuccahinge.Millis) {
+	e.omitted = 0
+	if e.changedAt > 0 && now < e.changedAt+flapMs {
+		e.patience = min(2*e.patience, maxPatience)
+		return
 	}
-	return math.Abs(float64(*e.rate-*e.announced)) > announceRatio*float64(*e.announced)
+	e.patience = 1
+}
+
+// holdMs returns how long the rate stays in force after the last response that names it.
+func (e *limit) holdMs() yuccahinge.Millis { return yuccahinge.Millis(e.patience) * yuccahinge.Second }
+
+// differs reports whether the rate differs much from the one that was last announced.
+func (e *limit) differs() bool {
+	return e.announced == nil || math.Abs(float64(*e.rate-*e.announced)) > announceRatio*float64(*e.announced)
 }
 
 // announce returns an announcement of the rate in force, or of its end.
 func (l *Limiter) announce(now yuccahinge.Millis, id yuccahinge.SearcherID, e *limit) *yuccahinge.Notice {
+	e.announced, e.announcedAt = e.rate, now
 	if l.Stamp == nil {
 		return nil
 	}
-	e.stamp, e.announced, e.announcedAt = l.Stamp(), e.rate, now
+	e.stamp = l.Stamp()
 	return &yuccahinge.Notice{Kind: yuccahinge.NoticeMaxRate, Key: string(id), MaxRate: e.rate, Stamp: e.stamp, TTLMs: forgetMs}
 }
--- a/ration/limiter.go
+++ b/ration/limiter.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// holdMs is how long a maximum rate stays in force after the last response that names it, even if others don't.
-	holdMs = 1 * yuccahinge.Second
+	// The patience with responses that leave a maximum rate out doubles, up to maxPatience, each time that a rate begins
+	// less than flapMs after the last one has ended.
+	maxPatience = 8
+	flapMs      = 30 * yuccahinge.Second
 	// renewMs is the age of the last announcement of a maximum rate from which it is announced again.
 	renewMs = 20 * yuccahinge.Second
 	// forgetMs is the time without a confirmation after which a maximum rate is dropped, for searchers that no host
@@ -52,8 +54,8 @@
 	Calls map[string]int
 	// Heard reports whether another host announced the change.
 	Heard bool
-	// Renewed reports whether a rate is announced again that has not changed.
-	Renewed bool
+	// Minor reports whether the rate has changed little or not at all since it was last announced.
+	Minor bool
 	// Announcement is the notice for the other hosts; nil if they know already.
 	Announcement *yuccahinge.Notice
 }
@@ -72,7 +74,7 @@
 	for id, e := range l.limits {
 		unconfirmed := now - max(e.confirmedAt, e.changedAt, e.announcedAt, e.malformedAt)
 		switch {
-		case e.rate != nil && (unconfirmed >= forgetMs || e.endAnnounced && now >= e.namedAt+holdMs):
+		case e.rate != nil && (unconfirmed >= forgetMs || e.endAnnounced && now >= e.namedAt+e.holdMs()):
 			changes = append(changes, l.end(now, id, e))
 		case e.rate == nil && unconfirmed >= forgetMs:
 			delete(l.limits, id)
--- a/ration/limiter_test.go
+++ b/ration/limiter_test.go
@@ -45,6 +45,8 @@
 		{1200, 1150, named(5), "rate 5"},
 		{1210, 1160, named(20), ""},
 		{1300, 1250, named(8), "rate 8"},
+		{1310, 1305, named(8.1), ""},
+		{1320, 1311, named(8), ""},
 		{1350, 1320, absent, ""},
 		{1400, 1390, &yuccahinge.LoadReport{MalformedMaxRate: `"-1"`}, `malformed "-1"`},
 		{1500, 1490, &yuccahinge.LoadReport{MalformedMaxRate: `"-1"`}, ""},
