Don't let an old response revive a maximum rate

Cause: a host that hears of the end just after a response with the rate keeps to the rate for a second. A response to an older request, late by a slow link, then counted as news, and was announced to all.

Such a response is now older than the announced end and is ignored. The test failed before with "2 announcements, want only the one before the end" and "the rate is still in force".

yuccahinge explain shows searcherLimited and searcherUnlimited among the possible causes, and a test covers rates that can't be decoded.

--- a/internal/view/trace/trace.go
+++ b/internal/view/trace/trace.go
@@ -99,7 +99,8 @@
 	switch code {
 	case event.ProcessStarted, event.ProcessUnready, event.ProcessDraining, event.ProcessPaused, event.DrainCut,
 		event.TicketInForce, event.TicketRefused, event.PlatformDown, event.PlatformBack, event.SearchersChanged,
-		event.DomainCut, event.DomainBack, event.HelperFailed, event.InvariantBroken:
+		event.DomainCut, event.DomainBack, event.HelperFailed, event.SearcherLimited, event.SearcherUnlimited,
+		event.SearcherLimitInvalid, event.InvariantBroken:
 		return true
 	default:
 		return false
--- a/ration/division_test.go
+++ b/ration/division_test.go
@@ -495,3 +495,49 @@
 	}
 	return n
 }
+
+// TestMalformedRatesChangeNothing covers rates that can't be decoded: they neither begin a rate nor change or end one.
+func TestMalformedRatesChangeNothing(t *testing.T) {
+	f := newFleet(t, 1)
+	l := f.hosts[0].limiter
+	malformed := []*yuccahinge.LoadReport{{MalformedMaxRate: `"x"`}, named(-1)}
+	for _, report := range malformed {
+		l.Observe(f.now, f.now, searcher, report)
+	}
+	if l.Limited() != 0 {
+		t.Error("a malformed rate limits the searcher")
+	}
+	l.Observe(f.now, f.now, searcher, named(1))
+	wait := l.RoomIn(f.now, searcher, &f.target, "")
+	f.now += 5 * yuccahinge.Second
+	for _, report := range malformed {
+		l.Observe(f.now, f.now, searcher, report)
+	}
+	if l.Limited() != 1 || wait == 0 {
+		t.Error("a malformed rate ended the one in force")
+	}
+}
+
+// TestLateResponseDoesNotReviveARate guards against an old response that makes a host announce a rate again after another
+// host has announced its end: hosts that no longer call the searcher would keep to it for a minute.
+func TestLateResponseDoesNotReviveARate(t *testing.T) {
+	f := newFleet(t, 2)
+	l := f.hosts[0].limiter
+	var announcements int
+	l.OnChange = func(c Change) {
+		if c.Announcement != nil {
+			announcements++
+		}
+	}
+	l.Observe(f.now, f.now-responseMs, searcher, named(5))
+	end := yuccahinge.Notice{Kind: yuccahinge.NoticeMaxRate, Key: string(searcher), Stamp: yuccahinge.Timestamp{Wall: 1 << 40}, TTLMs: 1000}
+	l.Learn(f.now+100, &end)
+	l.Observe(f.now+300, f.now+50, searcher, named(5))
+	if announcements != 1 {
+		t.Errorf("%d announcements, want only the one before the end", announcements)
+	}
+	l.SetHosts(f.now+yuccahinge.Second+100, []Host{f.hosts[0].Host})
+	if l.Limited() != 0 {
+		t.Error("the rate is still in force")
+	}
+}
--- a/ration/limit.go
+++ b/ration/limit.go
@@ -20,8 +20,9 @@
 	// patience is the number of responses in a row without a rate, and the number of seconds since the last one with it,
 	// from which the rate ends. omitted counts the responses.
 	patience, omitted int
-	// endAnnounced is set if another host announced the end of a rate that a response has named recently.
-	endAnnounced bool
+	// endAnnouncedAt is the instant at which another host announced the end of a rate that a response has named recently;
+	// zero if none has.
+	endAnnouncedAt yuccahinge.Millis
 	// malformed is the last text that could not be decoded.
 	malformed   string
 	malformedAt yuccahinge.Millis
@@ -90,16 +91,16 @@
 	return Change{Searcher: id, Malformed: text}, true
 }
 
-// handleNamed applies a rate that a response named. A response to a request from before the last change may be older than
-// that change.
+// handleNamed applies a rate that a response named. A response to a request from before the last change, or before another
+// host announced the end, may be older than that.
 func (l *Limiter) handleNamed(now, sentAt yuccahinge.Millis, id yuccahinge.SearcherID, rate yuccahinge.RequestRate) (Change, bool) {
 	e := l.entry(id)
 	changed := e.rate == nil || *e.rate != rate
-	if changed && e.changedAt > 0 && sentAt < e.changedAt {
+	if changed && e.changedAt > 0 && sentAt < e.changedAt || sentAt < e.endAnnouncedAt {
 		return Change{}, false
 	}
 	e.confirmedAt, e.namedAt = now, now
-	e.endAnnounced = false
+	e.endAnnouncedAt = 0
 	e.omitted = 0
 	if changed {
 		l.setRate(now, e, rate)
@@ -142,7 +143,7 @@
 	var changes []Change
 	switch {
 	case n.MaxRate == nil && e.rate != nil && named:
-		e.endAnnounced = true
+		e.endAnnouncedAt = now
 	case n.MaxRate == nil && e.rate != nil:
 		c := l.end(now, id, e)
 		c.Heard = true
@@ -176,7 +177,7 @@
 	l.limited.Add(-1)
 	e.rate = nil
 	e.changedAt = now
-	e.endAnnounced = false
+	e.endAnnouncedAt = 0
 	return Change{Searcher: id, Calls: e.calls}
 }
 
--- a/ration/limiter.go
+++ b/ration/limiter.go
@@ -74,7 +74,7 @@
 	for id, e := range l.limits {
 		unconfirmed := now - max(e.confirmedAt, e.changedAt, e.announcedAt, e.malformedAt)
 		switch {
-		case e.rate != nil && (unconfirmed >= forgetMs || e.endAnnounced && now >= e.namedAt+e.holdMs()):
+		case e.rate != nil && (unconfirmed >= forgetMs || e.endAnnouncedAt > 0 && now >= e.namedAt+e.holdMs()):
 			changes = append(changes, l.end(now, id, e))
 		case e.rate == nil && unconfirmed >= forgetMs:
 			delete(l.limits, id)
