--- a/internal/trial/chaos/experiment.go
+++ b/internal/trial/chaos/experiment.go
@@ -15,6 +15,7 @@
 	"io"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -52,7 +53,9 @@
 	portsTried int
 	// probes counts the callers that check a host for full coverage, so that no two of them use the same attempt ids.
 	probes int
-	mu     sync.Mutex // guards Out
+	// isHealed is set when the faults end.
+	isHealed atomic.Bool
+	mu       sync.Mutex // guards Out
 }
 
 // Report counts the requests and faults of a run and lists the violations.
--- a/internal/trial/chaos/fault.go
+++ b/internal/trial/chaos/fault.go
@@ -129,6 +129,9 @@
 	s.setMaxRate(rate)
 	go func() {
 		sleep(ctx, first)
+		if x.isHealed.Load() {
+			return
+		}
 		s.setMaxRate(next)
 		sleep(ctx, second)
 		s.setMaxRate("")
@@ -164,6 +167,7 @@
 // clearFaults ends all faults and waits for the processes that are being restarted, paused or reloaded.
 func (x *Experiment) clearFaults() {
 	x.logf("heal")
+	x.isHealed.Store(true)
 	x.env.clearFaults()
 	for _, h := range x.hosts {
 		h.platformLink.SetFaults(link.Faults{Cut: link.CutNone})
--- a/ration/division_test.go
+++ b/ration/division_test.go
@@ -541,3 +541,26 @@
 		t.Error("the rate is still in force")
 	}
 }
+
+// TestHostsWithoutAPartLearnOfTheEnd guards against a host that keeps to a maximum rate long after its end because no host
+// with a part has a request for the searcher: after the end, only one host has requests, and it has no part.
+func TestHostsWithoutAPartLearnOfTheEnd(t *testing.T) {
+	f := newFleet(t, 80)
+	f.setRate(2)
+	f.run(10*yuccahinge.Second, 400)
+	f.setRate(-1)
+	var without *simHost
+	for _, h := range f.hosts {
+		if l := h.limiter; l.hosts.part(f.now, h.ID, searcherKind{domain: f.target.Domain}, 2) == (part{}) {
+			without = h
+		}
+	}
+	for end := f.now + 10*yuccahinge.Second; f.now < end; f.now += 100 {
+		f.shareHosts()
+		f.deliver()
+		f.call(without)
+	}
+	if without.limiter.Limited() > 0 {
+		t.Error("the host keeps to the rate 10 s after its end")
+	}
+}
