review: show requests that reach a searcher after its drain

Cause: a request that waits for a connection keeps the searcher and the index that it was taken with. Before it is sent nobody asks whether the store lists the searcher as draining.

--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -25,6 +26,9 @@
 	name, ip string
 	settings string
 	log      *os.File
+	// storeAddr is the address at which this host reaches the store, and listCalls counts its calls for the list of searchers.
+	storeAddr string
+	listCalls atomic.Int64
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -44,7 +48,7 @@
 		"listen": map[string]any{
 			"front": h.front(), "ready_addr": fmt.Sprintf("%s:%d", h.ip, readyPort), "control": fmt.Sprintf("%s:%d", h.ip, controlPort),
 		},
-		"platform": map[string]any{"addr": h.stage.storeAddr},
+		"platform": map[string]any{"addr": h.storeAddr},
 		"limits":   map[string]any{"cpu_share": 0.4, "link_mbps": 1000},
 		"bounds":   map[string]any{"grace_s": 6, "retry_ratio": 0.2, "retry_slack": 56, "retry_window_s": 10, "drain_ms": 3000},
 	})
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -23,6 +23,7 @@
 // cases holds the function of each case. It returns how often the rule was broken.
 var cases = map[string]func(*stage) (int, error){
 	"refused": refused,
+	"late":    late,
 }
 
 // stage is one run of a case.
@@ -31,7 +32,6 @@
 	// trouble is false if the case runs without its disruption.
 	trouble   bool
 	store     store.Store
-	storeAddr string
 	hosts     []*entryHost
 	searchers []*searcher
 	record    *record
@@ -77,14 +77,6 @@
 	if os.Getenv("KEEP") == "" {
 		defer os.RemoveAll(s.dir)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return 0, err
-	}
-	s.storeAddr = l.Addr().String()
-	server := &http.Server{Handler: s.store.Handler()}
-	defer server.Close()
-	go func() { _ = server.Serve(l) }() // returns when the case ends
 	defer func() {
 		for _, h := range s.hosts {
 			h.stop()
@@ -118,6 +110,9 @@
 		}
 	}
 	for i, h := range s.hosts {
+		if err := s.serveStore(h); err != nil {
+			return err
+		}
 		if err := h.writeSettings(zones[i%len(zones)], seeds); err != nil {
 			return err
 		}
@@ -133,3 +128,21 @@
 	s.record.printf("%d entry hosts are ready, their logs in %s", n, filepath.Base(s.dir))
 	return nil
 }
+
+// serveStore serves the store to one host, at an address of its own.
+func (s *stage) serveStore(h *entryHost) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	h.storeAddr = l.Addr().String()
+	handler := s.store.Handler()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.FormValue("prefix") == "servers/" {
+			h.listCalls.Add(1)
+		}
+		handler.ServeHTTP(w, r)
+	})}
+	go func() { _ = server.Serve(l) }() // ends with the program
+	return nil
+}
