review: show departures in force late while the two readers are frozen

Cause: a host that follows two frozen readers takes the time without an update for an outage of the store, and keeps removed entries of searchers for 2.2 s more.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(*stage) (int, error){
 	"refused": refused,
 	"late":    late,
+	"stale":   stale,
 }
 
 // stage is one run of a case.
