review: show a request that crashes three searchers for each host

Cause: a host confirms a request that crashes searchers after three reports. Hosts whose seeds are down don't know of each other, and each has to see three crashes itself.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -22,6 +22,7 @@
 
 // cases holds the function of each case. It returns how often the rule was broken.
 var cases = map[string]func(*stage) (int, error){
+	"crash":   crash,
 	"refused": refused,
 	"late":    late,
 	"stale":   stale,
@@ -36,6 +37,8 @@
 	hosts     []*entryHost
 	searchers []*searcher
 	record    *record
+	// seedsDown is set if the seeds of the hosts are addresses at which no process listens.
+	seedsDown bool
 }
 
 func main() {
@@ -110,6 +113,9 @@
 			seeds = append(seeds, fmt.Sprintf("%s:%d", h.ip, controlPort))
 		}
 	}
+	if s.seedsDown {
+		seeds = []string{fmt.Sprintf("127.0.0.2:%d", controlPort), fmt.Sprintf("127.0.0.3:%d", controlPort)}
+	}
 	for i, h := range s.hosts {
 		if err := s.serveStore(h); err != nil {
 			return err
