--- a/review/stage/entry.go
+++ b/review/stage/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -13,12 +14,22 @@
 	"time"
 )
 
-// The ports of an entry host, at an address of its own.
-const (
-	frontPort   = 8104
-	controlPort = 8106
-	readyPort   = 8108
-)
+// hostPorts are the ports of the entry hosts, which are the same at the address of each.
+type hostPorts struct{ front, control, ready int }
+
+// findPorts finds ports that are free at an address.
+func findPorts(ip string) (hostPorts, error) {
+	var p hostPorts
+	for _, port := range []*int{&p.front, &p.control, &p.ready} {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return p, err
+		}
+		defer l.Close()
+		*port = l.Addr().(*net.TCPAddr).Port
+	}
+	return p, nil
+}
 
 // entryHost is a process of the project, started with the command of the deploy file.
 type entryHost struct {
@@ -35,7 +46,7 @@
 	exited chan struct{}
 }
 
-func (h *entryHost) front() string { return fmt.Sprintf("%s:%d", h.ip, frontPort) }
+func (h *entryHost) front() string { return fmt.Sprintf("%s:%d", h.ip, h.stage.ports.front) }
 
 // writeSettings renders deploy/entry.json with the settings of a machine of the small site.
 func (h *entryHost) writeSettings(zone string, seeds []string) error {
@@ -46,7 +57,7 @@
 	text, err := render(string(template), map[string]any{
 		"node": h.name, "zone": zone, "ip": h.ip, "seeds": seeds,
 		"listen": map[string]any{
-			"front": h.front(), "ready_addr": fmt.Sprintf("%s:%d", h.ip, readyPort), "control": fmt.Sprintf("%s:%d", h.ip, controlPort),
+			"front": h.front(), "ready_addr": fmt.Sprintf("%s:%d", h.ip, h.stage.ports.ready), "control": fmt.Sprintf("%s:%d", h.ip, h.stage.ports.control),
 		},
 		"platform": map[string]any{"addr": h.storeAddr},
 		"limits":   map[string]any{"cpu_share": 0.4, "link_mbps": 1000},
@@ -136,7 +147,7 @@
 func (h *entryHost) awaitReady(limit time.Duration) error {
 	client := http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
-		resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", h.ip, readyPort))
+		resp, err := client.Get(fmt.Sprintf("http://%s:%d/v1/ready", h.ip, h.stage.ports.ready))
 		if err != nil {
 			continue
 		}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -35,6 +35,7 @@
 	trouble   bool
 	store     store.Store
 	hosts     []*entryHost
+	ports     hostPorts
 	searchers []*searcher
 	record    *record
 	// seedsDown is set if the seeds of the hosts are addresses at which no process listens.
@@ -109,12 +110,18 @@
 		// The addresses differ between cases that run at the same time.
 		h := &entryHost{stage: s, name: fmt.Sprint("entry-", i+1), ip: fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255, i+1)}
 		s.hosts = append(s.hosts, h)
+		if i == 0 {
+			var err error
+			if s.ports, err = findPorts(h.ip); err != nil {
+				return err
+			}
+		}
 		if i < 3 {
-			seeds = append(seeds, fmt.Sprintf("%s:%d", h.ip, controlPort))
+			seeds = append(seeds, fmt.Sprintf("%s:%d", h.ip, s.ports.control))
 		}
 	}
 	if s.seedsDown {
-		seeds = []string{fmt.Sprintf("127.0.0.2:%d", controlPort), fmt.Sprintf("127.0.0.3:%d", controlPort)}
+		seeds = []string{fmt.Sprintf("127.0.0.2:%d", s.ports.control), fmt.Sprintf("127.0.0.3:%d", s.ports.control)}
 	}
 	for i, h := range s.hosts {
 		if err := s.serveStore(h); err != nil {
