Don't hand on a refusal that promises more than the searcher does

Cause: a searcher's 503, 429 or 408 without Yuccahinge-Not-Run is rightly classified as a failure after which the request may have run, but that response was kept as the answer and its status written to the caller, to whom the status alone is the promise.

Evidence: the 503 bears the signature of the searcher that ran the request, so it is no refusal of the host; the second run has the id of the caller's second attempt, so it is no retry of the host. The log said "failed with status 503" for this and for nothing else that could tell; replyInvalid now says "status 503 without proof that the request did not run".

Fix: query.run keeps no response whose status promises "not run" (408, 421, 429, 503). A true refusal never gets there, since it is classified as one before. The caller gets 502 of the host, without a signature, which promises nothing, or an earlier failure of another searcher.

Related paths: idempotent lookups and a retry after a proven refusal had the same fault.

--- a/httpmessage.go
+++ b/httpmessage.go
@@ -1,5 +1,7 @@
 package yuccahinge
 
+import "net/http"
+
 // HeaderField is a header field of a request or a response.
 type HeaderField struct {
 	Name  string
@@ -25,3 +27,14 @@
 	Fields    []HeaderField
 	Body      []byte
 }
+
+// PromisesNotRun reports whether a caller that gets the response's status concludes that its request did not run and will not
+// run, so that it may send it again.
+func (r *HTTPResponse) PromisesNotRun() bool {
+	switch r.Status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -48,7 +48,8 @@
 
 // ForwardAnswer is the answer to a ForwardRequest.
 type ForwardAnswer struct {
-	// Response is the searcher's response to a lookup, which may be a failure; nil for a scattered request.
+	// Response is the searcher's response to a lookup; nil for a scattered request. It may be a failure, but none whose status
+	// promises that the request did not run.
 	Response *yuccahinge.HTTPResponse
 	// Records are the top records of all replies, Signatures the signatures of these replies, and Missing the number of
 	// shards without a reply.
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/yuccahinge/yuccahinge"
@@ -24,7 +25,8 @@
 	cancelWaits []context.CancelFunc
 	// cancelAll cancels the calls of all attempts; nil before execute.
 	cancelAll context.CancelFunc
-	// failureResponse is the last response of a searcher that ran the message and failed.
+	// failureResponse is the last response of a searcher that may have run the message and failed, but for those that would
+	// make the caller believe that it did not run.
 	failureResponse *yuccahinge.HTTPResponse
 	// forwardRequest is the forwarded request; nil for a search.
 	forwardRequest *ForwardRequest
@@ -149,7 +151,7 @@
 	e := q.engine
 	e.observeReply(&r, q.index.Version)
 	q.recordAttemptEnd(r)
-	if r.result.FailureResponse != nil {
+	if r.result.FailureResponse != nil && !r.result.IsUnprovenRefusal() {
 		q.failureResponse = r.result.FailureResponse
 	}
 	return q.gather.HandleResult(e.now(), r.attempt, r.result)
@@ -296,8 +298,13 @@
 		return
 	}
 	code := event.AttemptEnded
-	if r.result.Reason == yuccahinge.ReasonInvalid {
+	detail := string(r.result.Outcome) + " " + string(r.result.Reason)
+	switch {
+	case r.result.Reason == yuccahinge.ReasonInvalid:
 		code = event.ReplyInvalid
+	case r.result.IsUnprovenRefusal():
+		code = event.ReplyInvalid
+		detail += fmt.Sprintf(": status %d without proof that the request did not run", r.result.FailureResponse.Status)
 	}
 	if q.engine.OmitAttemptEvents && code == event.AttemptEnded {
 		return
@@ -308,6 +315,6 @@
 		Service:  q.service,
 		Attempt:  r.attempt,
 		Searcher: r.searcher,
-		Detail:   string(r.result.Outcome) + " " + string(r.result.Reason),
+		Detail:   detail,
 	})
 }
--- a/shardcall.go
+++ b/shardcall.go
@@ -64,7 +64,7 @@
 	Reply   *ShardReply
 	// Latency is the time from the sending to the end of the attempt.
 	Latency Millis
-	// FailureResponse is the response of a searcher that ran a forwarded request and failed.
+	// FailureResponse is the response of a searcher that failed and may have run a forwarded request.
 	FailureResponse *HTTPResponse
 	// ClosedUnanswered is set if the searcher closed the connection after the request was sent and before any byte of a
 	// response arrived.
@@ -89,6 +89,12 @@
 	return r.Outcome == Ran || f != nil && f.Signature != "" && f.Status < 500
 }
 
+// IsUnprovenRefusal reports whether the status of the searcher's response promises that the request did not run, while nothing
+// proves it.
+func (r *ShardResult) IsUnprovenRefusal() bool {
+	return r.FailureResponse != nil && r.FailureResponse.PromisesNotRun()
+}
+
 // DroppedInQueue reports whether the attempt was dropped from this host's own queue. Such a result carries no
 // information about the searcher.
 func (r *ShardResult) DroppedInQueue() bool {
