Follow substitutes when the readers of the searcher list give none

Cause, in two steps. A follower called the silent readers in turn, 1.6 s each, before it read the platform itself: 3.2 s. After over 2.6 s without a list it took an outage of the platform for possible, in which entries lapse, and kept the removed ones for another 2.2 s.

Evidence: readerElected and searchersChanged in the logs 3.2 and 5.4 s after the freeze; no list grew, so none came back from another host. searchersKept (new) says when searchers without an entry are kept.

Fix: a late reader is not waited for alone, all others are called at once; if none has a list, two substitutes, next in the same order, are asked to read the platform for 5 s. A follower reads it itself only if these fail, 2.2 s after its last answer, before an outage has to be assumed. So hundreds of hosts don't turn to the platform in one second either, as they did.

Open: readers and substitutes frozen together send each host to the platform.

--- a/event/searcher.go
+++ b/event/searcher.go
@@ -23,6 +23,8 @@
 	SearcherHeld yuccahinge.EventCode = 609
 	// SearcherHoldInvalid means that a searcher named such a time that can't be decoded.
 	SearcherHoldInvalid yuccahinge.EventCode = 610
+	// SearchersKept means that searchers without an entry stay in the list for a time, since the platform may have been away.
+	SearchersKept yuccahinge.EventCode = 611
 )
 
 var searcherNames = map[yuccahinge.EventCode]string{
@@ -38,4 +40,5 @@
 	SearcherEntryInvalid: "searcherEntryInvalid",
 	SearcherHeld:         "searcherHeld",
 	SearcherHoldInvalid:  "searcherHoldInvalid",
+	SearchersKept:        "searchersKept",
 }
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -36,10 +36,7 @@
 	callTimeoutMs yuccahinge.Millis = 600
 )
 
-var (
-	errNoReader = errors.New("no other host is a reader of the list of searchers")
-	errNoList   = errors.New("no peer returned a list of searchers")
-)
+var errNoList = errors.New("no peer returned a list of searchers")
 
 // Relay serves this host's list of searchers to peers and reads theirs. It implements yuccahinge.ListWatcher. Set Self,
 // Peers, Membership and Clock before the first use. Its methods are safe for concurrent use.
@@ -60,6 +57,11 @@
 	anyCalls      int                 // number of calls of AnyPeer, which rotates through the peers
 	lastReader    yuccahinge.HostID   // the reader that answered last; empty for none
 	readerAnswers int                 // answers since lastReader was last reset
+
+	fresh           chan struct{}                           // closed when the list becomes fresh
+	passedOverUntil map[yuccahinge.HostID]yuccahinge.Millis // hosts that are not called at present, and until when
+	endWatch        context.CancelCauseFunc                 // ends the watch in progress; nil if there is none
+	readAskedUntil  yuccahinge.Millis                       // until when a new watch ends at once, so that this host reads the platform
 }
 
 var _ yuccahinge.ListWatcher = (*Relay)(nil)
@@ -71,6 +73,8 @@
 	WaitMs yuccahinge.Millis   `json:"waitMs,omitempty"`
 	// Any accepts the list of a host that cannot read the platform either.
 	Any bool `json:"any,omitempty"`
+	// Substitute asks a host that is no reader to become one for a while, since the caller reaches none.
+	Substitute bool `json:"substitute,omitempty"`
 }
 
 func (r *request) position() yuccahinge.Position {
@@ -88,6 +92,10 @@
 	r.lastRead = 0
 	if fresh {
 		r.lastRead = r.Clock.Now()
+		if r.fresh != nil {
+			close(r.fresh)
+			r.fresh = nil
+		}
 	}
 	if changed {
 		r.lastChange = position
@@ -107,11 +115,11 @@
 }
 
 // IsReader reports whether this host is a reader: one that reads the platform directly.
-func (r *Relay) IsReader() bool { return slices.Contains(r.readers(), r.Self) }
+func (r *Relay) IsReader() bool { return slices.Contains(r.readers(nil), r.Self) }
 
-// readers returns the hosts that read the platform, according to this host's membership. They are in different failure
-// domains as far as possible.
-func (r *Relay) readers() []yuccahinge.HostID {
+// readers returns the hosts that read the platform, according to this host's membership, or those that would do so if the hosts in
+// passedOver were not there. They are in different failure domains as far as possible.
+func (r *Relay) readers(passedOver []yuccahinge.HostID) []yuccahinge.HostID {
 	domains := make(map[string]yuccahinge.DomainID)
 	ids := []string{string(r.Self)}
 	for _, m := range r.Membership.Members() {
@@ -121,7 +129,9 @@
 		}
 	}
 	domains[string(r.Self)] = r.Domain
-	n := min(len(ids), max(minReaders, (len(ids)+hostsPerReader-1)/hostsPerReader))
+	n := max(minReaders, (len(ids)+hostsPerReader-1)/hostsPerReader)
+	ids = slices.DeleteFunc(ids, func(id string) bool { return slices.Contains(passedOver, yuccahinge.HostID(id)) })
+	n = min(n, len(ids))
 	order := rendez.Order("searchers", ids)
 	usedDomains := make(map[yuccahinge.DomainID]bool)
 	var out []yuccahinge.HostID
@@ -154,7 +164,10 @@
 func (r *Relay) answer(ctx context.Context, req *request) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if req.WaitMs > 0 && r.canAnswer(req) {
+	switch {
+	case !r.canAnswer(req) && req.Substitute:
+		r.awaitRead(ctx, req)
+	case req.WaitMs > 0 && r.canAnswer(req):
 		r.awaitChange(ctx, req)
 	}
 	if !r.canAnswer(req) {
@@ -197,77 +210,6 @@
 	}
 }
 
-// List implements yuccahinge.ListWatcher.
-func (r *Relay) List(ctx context.Context) (*yuccahinge.ChangeBatch, error) {
-	return r.Watch(ctx, yuccahinge.Position{}, 0)
-}
-
-// Watch implements yuccahinge.ListWatcher. It calls the reader that answered last, and the next ones if that fails.
-func (r *Relay) Watch(ctx context.Context, after yuccahinge.Position, wait yuccahinge.Millis) (*yuccahinge.ChangeBatch, error) {
-	err := errNoReader
-	for _, m := range r.readersInOrder() {
-		b, callErr := r.call(ctx, m.PeerAddr, &request{After: after.Revision, Epoch: after.Epoch, WaitMs: wait})
-		r.recordAnswer(yuccahinge.HostID(m.ID), callErr == nil)
-		if callErr == nil {
-			return b, nil
-		}
-		if isRefusal(callErr) {
-			callErr = errors.Mark(callErr, yuccahinge.ErrPlatformUnavailable)
-		}
-		if !errors.Is(err, yuccahinge.ErrPlatformUnavailable) {
-			err = callErr
-		}
-	}
-	return nil, err
-}
-
-// readersInOrder returns the readers in the order in which this host calls them: the one that answered last, those of
-// its own failure domain, and the others. The order within a group differs from host to host.
-func (r *Relay) readersInOrder() []yuccahinge.Member {
-	r.mu.Lock()
-	last := r.lastReader
-	r.mu.Unlock()
-	var ids []string
-	for _, id := range r.readers() {
-		if id != r.Self {
-			ids = append(ids, string(id))
-		}
-	}
-	out := make([]yuccahinge.Member, 0, len(ids))
-	for _, id := range rendez.Order(string(r.Self), ids) {
-		if m, ok := r.Membership.Find(yuccahinge.HostID(id)); ok {
-			out = append(out, m)
-		}
-	}
-	rank := func(m yuccahinge.Member) int {
-		switch {
-		case yuccahinge.HostID(m.ID) == last:
-			return 0
-		case m.Domain == r.Domain:
-			return 1
-		default:
-			return 2
-		}
-	}
-	slices.SortStableFunc(out, func(a, b yuccahinge.Member) int { return rank(a) - rank(b) })
-	return out
-}
-
-// recordAnswer records whether a reader answered. The preference for the last reader is reset when it fails, and
-// after homeRetryAnswers answers, because the reader of this host's own failure domain may be available again by
-// then.
-func (r *Relay) recordAnswer(id yuccahinge.HostID, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	switch {
-	case !ok && id == r.lastReader, ok && r.readerAnswers >= homeRetryAnswers:
-		r.lastReader, r.readerAnswers = "", 0
-	case ok:
-		r.lastReader = id
-		r.readerAnswers++
-	}
-}
-
 // isRefusal reports whether a host that should read the platform replied that it cannot.
 func isRefusal(err error) bool {
 	var e *yuccahinge.Error
@@ -281,11 +223,12 @@
 	r.anyCalls++
 	first := r.anyCalls * anyPeerCalls
 	r.mu.Unlock()
+	passedOver := r.passedOverHosts()
 	answers := make(chan *yuccahinge.ChangeBatch, anyPeerCalls)
 	calls := 0
 	for i := range members {
 		m := members[(first+i)%len(members)]
-		if m.ID == string(r.Self) || m.PeerAddr == "" || calls == anyPeerCalls {
+		if m.ID == string(r.Self) || m.PeerAddr == "" || calls == anyPeerCalls || slices.Contains(passedOver, yuccahinge.HostID(m.ID)) {
 			continue
 		}
 		calls++
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -37,6 +37,9 @@
 	followerReadMs yuccahinge.Millis = 1500
 	// peerRetryMs is the time after which a host that is not a reader calls its readers again if they failed.
 	peerRetryMs yuccahinge.Millis = 250
+	// refusalSpreadMs spreads the first reads of the platform over time by hosts whose readers begin to refuse. Those that the hosts
+	// have asked to read in place of the readers have a list before.
+	refusalSpreadMs yuccahinge.Millis = 500
 	// firstListMs bounds the wait for a reader's list at the start. A whole list takes a few milliseconds.
 	firstListMs yuccahinge.Millis = 100
 	// entryExpiryMs is the time without an update after which the platform may have been down long enough for entries
@@ -91,6 +94,8 @@
 	platformDown bool
 	// noListAvailable reports whether neither the platform nor another host gave a list at the last try.
 	noListAvailable bool
+	// readersRefuse reports whether the readers could not read the platform at the last call.
+	readersRefuse bool
 	// directUntil is when a host that is not a reader stops reading the platform directly.
 	directUntil yuccahinge.Millis
 	// nextDirectRead is the earliest time at which a host that is not a reader again reads a platform that did not answer.
@@ -98,7 +103,9 @@
 	// followsReaders reports whether other hosts read the platform for this one.
 	followsReaders bool
 	// hasList reports whether a list was received since the start, and lastUpdate is when the last reply arrived.
-	hasList    bool
+	hasList bool
+	// keeps reports whether the list holds searchers without an entry.
+	keeps      bool
 	lastUpdate yuccahinge.Millis
 }
 
@@ -180,6 +187,7 @@
 	case ctx.Err() != nil:
 		return 0
 	case err == nil:
+		w.readersRefuse = false
 		w.mergePeerBatch(b)
 		return peerCallDelayMs
 	}
@@ -188,6 +196,7 @@
 	}
 	now := w.Clock.Now()
 	if now < w.nextDirectRead {
+		w.readAnyPeer(ctx)
 		return min(peerRetryMs, w.nextDirectRead-now)
 	}
 	w.directUntil = now + directMs
@@ -199,11 +208,17 @@
 // because they answer again as soon as the platform does. Until then any host may have a newer list, and an
 // occasional short read of the platform shows whether only the readers have lost it.
 func (w *Watcher) readWithoutReaders(ctx context.Context, cause error) yuccahinge.Millis {
-	w.readAnyPeer(ctx)
-	if now := w.Clock.Now(); now >= w.nextDirectRead {
+	now := w.Clock.Now()
+	if !w.readersRefuse {
+		w.readersRefuse = true
+		w.nextDirectRead = max(w.nextDirectRead, now+peerRetryMs+refusalSpreadMs*yuccahinge.Millis(w.rand.Float64()))
+	}
+	if now >= w.nextDirectRead {
 		w.nextDirectRead = now + w.jitter(followerReadMs)
 		w.record(event.SpreadPullFailed, "searchers: "+cause.Error())
 		w.readPlatform(ctx)
+	} else {
+		w.readAnyPeer(ctx)
 	}
 	return peerRetryMs
 }
@@ -271,6 +286,7 @@
 	w.listed = w.listed || fresh
 	w.hasList = w.hasList || position.Revision > 0
 	w.Peers.SetList(position, changed, fresh && w.list.InSync(w.Clock.Now()), w.list.ChangesSince)
+	w.reportKept()
 	if !changed && !first {
 		return
 	}
@@ -278,6 +294,15 @@
 	w.OnChange(w.list.Services())
 }
 
+// reportKept records that searchers without an entry stay in the list for a grace period.
+func (w *Watcher) reportKept() {
+	at, keeps := w.list.NextExpiry()
+	if keeps && !w.keeps {
+		w.record(event.SearchersKept, fmt.Sprintf("no entry, but the platform may have been away; the first is dropped in %.0f ms", at-w.Clock.Now()))
+	}
+	w.keeps = keeps
+}
+
 // markPlatformDown handles a failed read of the platform.
 func (w *Watcher) markPlatformDown(err error) {
 	w.list.RecordOutage()
