End an outage when the readers of the searcher list answer again

A follower whose own read of the platform has failed once keeps a searcher that leaves minutes later for 2.2 s more, at its next own read. No caller has reported it.

Cause: the mark of the outage was cleared by an own read only, not by the lists of readers, with which the host went on for any time.

Evidence: searchersKept at a host that had its last list 1.1 s before, so that a long pause is not the reason.

Fix: a reader's list that comes 3 s or more after the last failed read ends the outage. A reader answers with lists of the last 2 s only and not in a grace period of its own, so that list was read after the failure.

TestOldOutageDelaysNoDeparture failed before:

watcher_test.go:352: listed searchers are [a b], want [a]

--- a/census/searcherlist.go
+++ b/census/searcherlist.go
@@ -72,9 +72,14 @@
 // Position returns the position up to which changes were applied.
 func (l *SearcherList) Position() yuccahinge.Position { return l.position }
 
-// RecordOutage records a platform outage. The next Apply ends it and starts the grace period.
+// RecordOutage records a platform outage. The next Apply ends it and starts the grace period, unless EndOutage
+// is called before.
 func (l *SearcherList) RecordOutage() { l.inOutage = true }
 
+// EndOutage records that another host's list shows that the platform is back and that the grace period after its outage, if any, is
+// over.
+func (l *SearcherList) EndOutage() { l.inOutage = false }
+
 // Apply applies changes read from the platform at the time now and reports whether the list of searchers changed.
 func (l *SearcherList) Apply(now yuccahinge.Millis, b *yuccahinge.ChangeBatch) bool {
 	if l.inOutage {
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -46,6 +46,9 @@
 	// to expire: a searcher's entry lasts three heartbeats, of which one may already have passed. Watches take less
 	// time.
 	entryExpiryMs yuccahinge.Millis = 2600
+	// readerListAgeMs is more than the age of any list that a reader answers with. It does so outside of grace periods only, so that
+	// an outage is over when it answers so long after the last failed read.
+	readerListAgeMs = 3 * yuccahinge.Second
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff yuccahinge.Millis = 100
 	maxBackoff   yuccahinge.Millis = 500
@@ -107,6 +110,8 @@
 	// keeps reports whether the list holds searchers without an entry.
 	keeps      bool
 	lastUpdate yuccahinge.Millis
+	// lastFailure is when a read of the platform failed last.
+	lastFailure yuccahinge.Millis
 }
 
 // Run keeps the list up to date until the context ends.
@@ -149,6 +154,9 @@
 	w.listed = w.listed || b.Snapshot
 	w.markPlatformUp(b)
 	w.update(func(now yuccahinge.Millis) bool { return w.list.Merge(now, b) }, false)
+	if w.Clock.Now() > w.lastFailure+readerListAgeMs {
+		w.list.EndOutage()
+	}
 }
 
 // step makes one read and waits until the next is due.
@@ -306,6 +314,7 @@
 // markPlatformDown handles a failed read of the platform.
 func (w *Watcher) markPlatformDown(err error) {
 	w.list.RecordOutage()
+	w.lastFailure = w.Clock.Now()
 	if !w.platformDown {
 		w.platformDown = true
 		w.record(event.PlatformDown, "searchers: "+err.Error())
--- a/internal/state/watch/watcher_test.go
+++ b/internal/state/watch/watcher_test.go
@@ -335,3 +335,20 @@
 		t.Fatalf("wait is %g ms, want at most 400: the grace period of an entry ends in 300 ms", got)
 	}
 }
+
+// TestOldOutageDelaysNoDeparture guards against a follower that takes a removal for the effect of an outage that ended long ago,
+// because it has not read the platform itself since.
+func TestOldOutageDelaysNoDeparture(t *testing.T) {
+	p := &testPlatform{peersServe: true, revision: 1, ids: []string{"a", "b"}}
+	runWatcher(t, p, func(listed func() string) {
+		time.Sleep(2 * time.Second)
+		p.set(func() { p.down, p.readersRefuse = true, true })
+		time.Sleep(4 * time.Second)
+		p.set(func() { p.down, p.readersRefuse = false, false })
+		time.Sleep(20 * time.Second)
+		wantListed(t, listed, "[a b]")
+		p.set(func() { p.peersServe, p.ids = false, []string{"a"} })
+		time.Sleep(1500 * time.Millisecond)
+		wantListed(t, listed, "[a]")
+	})
+}
