Count the pause in the searcher list from the read of the platform

With one reader frozen and the other cut off from the platform, undisturbed hosts dropped a searcher 3.1 to 3.6 s after its entry was removed, in the model with the time-outs of the store client. No caller has reported it.

Cause: a reader that had stopped reading answered with lists of up to 2 s before, and a long poll that began then ended up to 1 s later. The follower counted the pause after which it has to assume an outage from the answer, so that it could also miss one: lapsed searchers were dropped 0.6 s after the platform's return.

Evidence: spreadPullFailed up to 3 s after the reader's last read; a pause of 2.55 s by the follower's count, 4.0 s since the platform was read.

Fix: a reader refuses when its last read is 1.6 s old and ends long polls then; its answers say how old the list is, and pauses count from that read.

--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -25,15 +26,15 @@
 	minReaders     = 2
 	hostsPerReader = 48
 	// maxReadAgeMs is the age of its last read of the platform above which a host refuses requests, except those that
-	// accept any list.
-	maxReadAgeMs = 2 * yuccahinge.Second
+	// accept any list. It is over the time from one read to the next on a quiet platform.
+	maxReadAgeMs yuccahinge.Millis = 1600
 	// anyPeerCalls is the number of hosts called in parallel when neither the platform nor its readers answer.
 	anyPeerCalls = 3
 	// homeRetryAnswers is the number of answers from a reader (a host that reads the platform) after which a host
 	// again first calls the reader of its own failure domain.
 	homeRetryAnswers = 20
 	// callTimeoutMs is the timeout of a call to a peer, in addition to the wait that it requests.
-	callTimeoutMs yuccahinge.Millis = 600
+	callTimeoutMs yuccahinge.Millis = 550
 )
 
 var errNoList = errors.New("no peer returned a list of searchers")
@@ -173,7 +174,11 @@
 	if !r.canAnswer(req) {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform, Message: "this host can't read the platform"}
 	}
-	return r.changesSince(req.position()), nil
+	b := r.changesSince(req.position())
+	if r.lastRead > 0 {
+		b.AgeMs = r.Clock.Now() - r.lastRead
+	}
+	return b, nil
 }
 
 // canAnswer reports whether this host has a list that is recent enough for the request.
@@ -190,8 +195,8 @@
 	}
 }
 
-// awaitChange returns when something has changed after the requested position, when the list is no longer fresh, or
-// when the requested wait ends. The caller holds the lock, which is released during the wait.
+// awaitChange returns when something has changed after the requested position, when the list is no longer fresh or this host has not
+// read the platform for maxReadAgeMs, or when the requested wait ends. The caller holds the lock, which is released during the wait.
 func (r *Relay) awaitChange(ctx context.Context, req *request) {
 	if req.position().Before(r.lastChange) || req.Epoch < r.epoch {
 		return
@@ -200,13 +205,19 @@
 		r.changed = make(chan struct{})
 	}
 	changed := r.changed
-	r.mu.Unlock()
-	defer r.mu.Lock()
 	ctx, cancel := context.WithTimeout(ctx, req.WaitMs.Duration())
 	defer cancel()
-	select {
-	case <-changed:
-	case <-ctx.Done():
+	for r.canAnswer(req) && ctx.Err() == nil {
+		outdated := time.NewTimer((r.lastRead + maxReadAgeMs - r.Clock.Now() + 1).Duration())
+		r.mu.Unlock()
+		select {
+		case <-changed:
+			cancel()
+		case <-outdated.C:
+		case <-ctx.Done():
+		}
+		outdated.Stop()
+		r.mu.Lock()
 	}
 }
 
--- a/internal/state/relay/relay_test.go
+++ b/internal/state/relay/relay_test.go
@@ -276,3 +276,38 @@
 		t.Errorf("first reader is %s, want %s of the host's own domain", first(id).ID, home.ID)
 	}
 }
+
+// TestReaderEndsLongPollsWhenItsListIsOld guards against hosts that wait for a reader which has stopped reading the platform.
+func TestReaderEndsLongPollsWhenItsListIsOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(4)
+		var list census.SearcherList
+		addRegistration(&list, 4, "a")
+		read := func() {
+			for _, id := range h.readers() {
+				h.relays[id].SetList(list.Position(), false, true, list.ChangesSince)
+			}
+		}
+		for id, r := range h.relays {
+			if r.IsReader() {
+				continue
+			}
+			read()
+			time.Sleep(time.Second)
+			b, err := r.Watch(t.Context(), list.Position(), 100)
+			if err != nil || b.AgeMs != 1100 {
+				t.Errorf("%s got %+v, %v, want a list of 1100 ms before", id, b, err)
+			}
+			start := time.Now()
+			b, err = r.Watch(t.Context(), list.Position(), 1000)
+			if waited := time.Since(start); err == nil || waited > 600*time.Millisecond {
+				t.Errorf("%s got %+v, %v after %v, want a refusal when the list is %v old", id, b, err, waited, maxReadAgeMs.Duration())
+			}
+			time.AfterFunc(400*time.Millisecond, read)
+			read()
+			if b, err = r.Watch(t.Context(), list.Position(), 1000); err != nil || b.AgeMs != 600 {
+				t.Errorf("%s got %+v, %v, want the list of a reader that goes on reading", id, b, err)
+			}
+		}
+	})
+}
--- a/internal/state/relay/watch.go
+++ b/internal/state/relay/watch.go
@@ -20,8 +20,8 @@
 	refusedMs = 1 * yuccahinge.Second
 	// substituteWaitMs is how long a substitute that is asked to read the platform may take for it, and substituteCallMs bounds the
 	// call.
-	substituteWaitMs yuccahinge.Millis = 300
-	substituteCallMs yuccahinge.Millis = 400
+	substituteWaitMs yuccahinge.Millis = 200
+	substituteCallMs yuccahinge.Millis = 250
 )
 
 var (
--- a/internal/state/watch/fleet_test.go
+++ b/internal/state/watch/fleet_test.go
@@ -22,7 +22,7 @@
 	fleetHeartbeat = 1200 * time.Millisecond
 	// departureInForce is the time in which all undisturbed hosts must have dropped a searcher whose entry was removed.
 	departureInForce = 3 * time.Second
-	// storeTimeout is how long a call to a silent platform takes.
+	// storeTimeout is how long a call to a silent platform takes beyond its wait.
 	storeTimeout = 1200 * time.Millisecond
 )
 
@@ -38,7 +38,8 @@
 	entries  map[string]yuccahinge.Revision
 	removed  map[string]yuccahinge.Revision
 	changed  chan struct{}
-	away     bool
+	// away is set while the platform answers no call, and silent if it does not refuse them either.
+	away, silent bool
 	// calls holds the time of each call since the last reset.
 	calls []time.Time
 }
@@ -120,6 +121,11 @@
 		}
 	}
 	if s.away {
+		if s.silent {
+			s.mu.Unlock()
+			time.Sleep(wait.Duration() + storeTimeout)
+			s.mu.Lock()
+		}
 		return nil, errCut
 	}
 	b := &yuccahinge.ChangeBatch{Revision: s.revision, Snapshot: after.Revision == 0}
@@ -209,7 +215,7 @@
 	isCut := h.isCut
 	h.mu.Unlock()
 	if isCut {
-		time.Sleep(storeTimeout)
+		time.Sleep(wait.Duration() + storeTimeout)
 		return nil, errCut
 	}
 	b, err := h.fleet.store.read(ctx, after, wait)
--- a/internal/state/watch/watcher_test.go
+++ b/internal/state/watch/watcher_test.go
@@ -28,7 +28,8 @@
 	lists         int
 	readersRefuse bool          // readers cannot read the platform; watches get no reply
 	peerDelay     time.Duration // how much longer readers take to reply
-	fresh         bool          // the last fresh value that the Watcher passed to SetList
+	age           yuccahinge.Millis
+	fresh         bool // the last fresh value that the Watcher passed to SetList
 	revision      yuccahinge.Revision
 	ids           []string
 }
@@ -102,7 +103,11 @@
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return p.AnyPeer(context.Background(), yuccahinge.Position{})
+	b, err := p.AnyPeer(context.Background(), yuccahinge.Position{})
+	if err == nil {
+		b.AgeMs = p.age
+	}
+	return b, err
 }
 
 func (p testPeers) AnyPeer(context.Context, yuccahinge.Position) (*yuccahinge.ChangeBatch, error) {
@@ -352,3 +357,19 @@
 		wantListed(t, listed, "[a]")
 	})
 }
+
+// TestAgeOfAListCountsAsAPause guards against a host that drops searchers whose entries lapsed in an outage, since the last list that
+// its reader sent it was already old.
+func TestAgeOfAListCountsAsAPause(t *testing.T) {
+	p := &testPlatform{peersServe: true, revision: 1, ids: []string{"a", "b"}, age: 1500}
+	runWatcher(t, p, func(listed func() string) {
+		time.Sleep(5 * time.Second)
+		p.set(func() { p.peerDelay = 1200 * time.Millisecond })
+		time.Sleep(200 * time.Millisecond)
+		p.set(func() { p.peersServe, p.ids = false, nil })
+		time.Sleep(2300 * time.Millisecond)
+		wantListed(t, listed, "[a b]")
+		time.Sleep(5 * time.Second)
+		wantListed(t, listed, "[]")
+	})
+}
--- a/registration.go
+++ b/registration.go
@@ -55,6 +55,8 @@
 	Snapshot bool     `json:"whole,omitempty"`
 	Changes  []Change `json:"changes"`
 	Revision Revision `json:"revision"`
+	// AgeMs is how long ago a host that sends its list to another one has read the platform.
+	AgeMs Millis `json:"ageMs,omitempty"`
 }
 
 // Position returns the position up to which the batch holds the changes.
