List searchers again whose entries lapsed in an outage and came back

Cause: a reader that has kept a searcher in its grace period takes the return of the entry for no change, as the content is the same, and sends only changes; a follower that has marked the entry as removed by an own read never hears of it. And a follower without readers lets a grace period end between two of its own reads, 1.5 s apart.

Evidence: the reader lists the searcher, its changes since the follower's position don't; drops 0.6 s after the last read and after the entry was back.

Fix: the return of a removed entry is a change for other hosts, and a host reads the platform when a grace period ends, before it drops the entry.

The grace period, and so a departure in an outage, is as long as before.

--- a/census/searcherlist.go
+++ b/census/searcherlist.go
@@ -160,6 +160,10 @@
 		return false
 	}
 	if old != nil && (old.dropAt == 0 || old.dropAt > now) && sameContent(old.registration, change.Registration) {
+		if old.dropAt > 0 {
+			// Other hosts may have removed it in the meantime.
+			old.contentRevision = change.Revision
+		}
 		old.revision, old.newest = change.Revision, next
 		old.dropAt = 0
 		return false
--- a/census/searcherlist_test.go
+++ b/census/searcherlist_test.go
@@ -293,3 +293,23 @@
 	}
 	return out
 }
+
+// TestReturnOfALapsedEntryReachesOtherHosts guards against a searcher that a host never lists again after an outage, since the host
+// whose list it follows had kept the searcher all the time and sent no change.
+func TestReturnOfALapsedEntryReachesOtherHosts(t *testing.T) {
+	var reader, follower SearcherList
+	first := batch(10, registration("a", 1, false), registration("b", 2, false))
+	reader.Apply(0, first)
+	follower.Merge(0, reader.ChangesSince(yuccahinge.Position{}))
+	lapsed := batch(12, yuccahinge.Change{Key: "a", Revision: 11})
+	for _, l := range []*SearcherList{&reader, &follower} {
+		l.RecordOutage()
+		l.Apply(5000, lapsed)
+	}
+	reader.Apply(6000, batch(14, registration("a", 13, false)))
+	follower.Merge(7000, reader.ChangesSince(follower.Position()))
+	follower.Expire(9000)
+	if reader.Len() != 2 || follower.Len() != 2 {
+		t.Errorf("the reader lists %d searchers, the follower %d, want 2", reader.Len(), follower.Len())
+	}
+}
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -203,7 +203,7 @@
 		return w.readWithoutReaders(ctx, err)
 	}
 	now := w.Clock.Now()
-	if now < w.nextDirectRead {
+	if !w.isDirectReadDue(now) {
 		w.readAnyPeer(ctx)
 		return min(peerRetryMs, w.nextDirectRead-now)
 	}
@@ -221,7 +221,7 @@
 		w.readersRefuse = true
 		w.nextDirectRead = max(w.nextDirectRead, now+peerRetryMs+refusalSpreadMs*yuccahinge.Millis(w.rand.Float64()))
 	}
-	if now >= w.nextDirectRead {
+	if w.isDirectReadDue(now) {
 		w.nextDirectRead = now + w.jitter(followerReadMs)
 		w.record(event.SpreadPullFailed, "searchers: "+cause.Error())
 		w.readPlatform(ctx)
@@ -231,6 +231,13 @@
 	return peerRetryMs
 }
 
+// isDirectReadDue reports whether a host that is no reader may read the platform itself: if it has not done so for a while, or if the
+// grace period of a removed entry ends, which may be listed again by now.
+func (w *Watcher) isDirectReadDue(now yuccahinge.Millis) bool {
+	at, keeps := w.list.NextExpiry()
+	return now >= w.nextDirectRead || keeps && now >= at
+}
+
 // readPlatform reads the whole list, or only the changes once a whole list is known, and returns the wait before the
 // next read.
 func (w *Watcher) readPlatform(ctx context.Context) yuccahinge.Millis {
