Ask again whether a searcher may be called when a request has waited

Cause: a request keeps the index that it began with. MaySend, asked when a connection is available, knew only the searchers that say themselves that they leave, not those that the newest list has as draining or not at all. The choice for retries and hedges from an earlier index had the same gap.

Evidence: searchersChanged half a second after the acknowledgement, so the host knew in time; the late arrivals are first attempts from before it.

Fix: package stale knows the searchers that an earlier list had as ready and the newest has not. They get no request by any path, calls that wait for a connection to them end at once, and an attempt that was never sent uses up neither `attempts` nor budget, so that the request can run elsewhere.

Suspected and not changed: the API of `serve` waits in the transport of net/http.

--- a/gather/gather_test.go
+++ b/gather/gather_test.go
@@ -421,3 +421,19 @@
 		t.Fatalf("%d extra attempts are charged, done %t, want 0 and true", b.withdrawn, g.Done())
 	}
 }
+
+// TestAttemptsNeverSentUseUpNothing guards against a query that fails because its searcher was no longer to be called when a
+// connection became available: the next attempt is the first that a searcher gets.
+func TestAttemptsNeverSentUseUpNothing(t *testing.T) {
+	neverSent := failedResult(yuccahinge.NotRun, yuccahinge.ReasonShed)
+	b := &countingBudget{}
+	g := &Gather{Request: "r", Index: newIndex(1, 3), Deadline: 100, MaxAttempts: 1, AtMostOnce: true, RetryBudget: b}
+	first := g.Start(0)[0]
+	second := g.HandleResult(5, first.Attempt, neverSent)
+	if len(second) != 1 || second[0].Kind != Send || second[0].Searcher == first.Searcher || b.withdrawn != 0 {
+		t.Fatalf("actions are %+v after an attempt that was not sent, %d extra attempts charged, want another searcher without a charge", second, b.withdrawn)
+	}
+	if out := g.HandleResult(6, second[0].Attempt, failedResult(yuccahinge.NotRun, yuccahinge.ReasonRefused)); g.AttemptsSent() != 2 || !g.Done() || !g.NoneRan() {
+		t.Errorf("actions are %+v after the only attempt that a searcher got", out)
+	}
+}
--- a/gather/result.go
+++ b/gather/result.go
@@ -43,6 +43,9 @@
 		return
 	}
 	s.reason = r.Reason
+	if r.DroppedInQueue() {
+		s.unsent++
+	}
 	switch {
 	case g.AtMostOnce && !a.notRun:
 		g.markLacking(s, r.Reason)
@@ -181,13 +184,17 @@
 		g.markLacking(s, s.reason)
 		return
 	}
-	if !withdrawFrom(now, g.RetryBudget, s) {
+	budget := g.RetryBudget
+	if s.unsent == s.attemptsSent {
+		budget = nil // no searcher has got an attempt yet
+	}
+	if !withdrawFrom(now, budget, s) {
 		g.markLacking(s, s.reason)
 		return
 	}
 	s.retried = true
 	s.hedgeAt = 0
-	if !g.chargeAttempt(now, g.RetryBudget, s, g.startAttempt(now, i, Retry)) {
+	if !g.chargeAttempt(now, budget, s, g.startAttempt(now, i, Retry)) {
 		g.markLacking(s, s.reason)
 	}
 }
--- a/gather/send.go
+++ b/gather/send.go
@@ -131,7 +131,7 @@
 // the shard is marked as lacking. It reports whether an attempt was sent.
 func (g *Gather) startAttempt(now yuccahinge.Millis, i int, cause Cause) bool {
 	s := &g.shards[i]
-	if s.attemptsSent == g.attemptLimit() {
+	if s.attemptsSent == g.attemptLimit(s) {
 		return false
 	}
 	searcher, ok := g.pick(now, s, s.tried[:s.attemptsSent])
@@ -158,9 +158,10 @@
 	return yuccahinge.ReasonUnreachable
 }
 
-func (g *Gather) attemptLimit() int {
+// attemptLimit returns the number of attempts after which a shard gets no more. Those that were not sent don't count.
+func (g *Gather) attemptLimit(s *shard) int {
 	if g.MaxAttempts > 0 {
-		return min(g.MaxAttempts, maxAttempts)
+		return min(g.MaxAttempts+s.unsent, maxAttempts)
 	}
 	return maxAttempts
 }
@@ -276,7 +277,7 @@
 func (g *Gather) hedgeOrReissue(now yuccahinge.Millis, i int, s *shard) {
 	first := g.activeFirstAttempt(i)
 	reissuing := s.hedged && !g.NoReissue
-	if s.attemptsSent == g.attemptLimit() || reissuing && first == nil || !reissuing && s.attemptsSent >= len(s.spec.Searchers) {
+	if s.attemptsSent == g.attemptLimit(s) || reissuing && first == nil || !reissuing && s.attemptsSent >= len(s.spec.Searchers) {
 		s.hedgeAt = 0
 		return
 	}
--- a/gather/shard.go
+++ b/gather/shard.go
@@ -21,6 +21,7 @@
 	coveredRemotely bool
 	inFlight        int // attempts in flight
 	attemptsSent    int
+	unsent          int // attempts that were dropped before they were sent
 	tried           [maxAttempts]yuccahinge.SearcherID
 	hedgeAt         yuccahinge.Millis // a hedge is due at this instant if few shards are pending; zero for no hedge
 	lateHedgeAt     yuccahinge.Millis // a hedge is due at this instant however many shards are pending
--- a/internal/call/conns/peer.go
+++ b/internal/call/conns/peer.go
@@ -166,6 +166,16 @@
 	}
 }
 
+// abandonWaiting fails all waiting calls.
+func (p *peer) abandonWaiting() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, ch := range p.waiting {
+		ch <- connResult{err: ErrAbandoned}
+	}
+	p.waiting = nil
+}
+
 // removeClosed removes a closed connection and dials another if more calls wait than dials are in progress.
 func (p *peer) removeClosed(pc *persistConn) {
 	p.mu.Lock()
--- a/internal/call/conns/pool.go
+++ b/internal/call/conns/pool.go
@@ -124,6 +124,13 @@
 // Warm dials a connection in the background to an address that has none, unless maxConns is 0.
 func (p *Pool) Warm(addr string, maxConns int) { p.peer(addr).dialIfNone(maxConns) }
 
+// AbandonWaiting ends the calls that wait for a connection to an address with ErrAbandoned.
+func (p *Pool) AbandonWaiting(addr string) {
+	if v, ok := p.peers.Load(addr); ok {
+		v.(*peer).abandonWaiting()
+	}
+}
+
 // CloseAddr closes the idle connections to an address, and each busy one when its call ends.
 func (p *Pool) CloseAddr(addr string) {
 	if v, ok := p.peers.LoadAndDelete(addr); ok {
--- a/internal/call/conns/pool_test.go
+++ b/internal/call/conns/pool_test.go
@@ -303,3 +303,51 @@
 		t.Errorf("%q, %v, the searcher received %d requests, want 2", got, err, received.Load())
 	}
 }
+
+// TestCallsToAnAddressAreAbandoned guards against calls that wait for a connection to a searcher that gets none any more.
+func TestCallsToAnAddressAreAbandoned(t *testing.T) {
+	var received atomic.Int64
+	release := make(chan struct{})
+	addr := startSearcher(t, func(c net.Conn, _ int64, in *bufio.Reader) {
+		for id := readRequestID(in); id != ""; id = readRequestID(in) {
+			if received.Add(1) == 1 {
+				<-release
+			}
+			_, _ = io.WriteString(c, response(id, "x"))
+		}
+	})
+	p := &Pool{}
+	defer p.Close()
+	p.AbandonWaiting(addr)
+	results := make(chan error, 4)
+	call := func(id string) {
+		_, err := do(t, p, addr, id)
+		results <- err
+	}
+	go call("first")
+	for received.Load() == 0 {
+		runtime.Gosched()
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		go call(id)
+	}
+	for waiting := 0; waiting < 3; runtime.Gosched() {
+		target := p.peer(addr)
+		target.mu.Lock()
+		waiting = len(target.waiting)
+		target.mu.Unlock()
+	}
+	p.AbandonWaiting(addr)
+	for range 3 {
+		if err := <-results; !errors.Is(err, ErrAbandoned) || !errors.Is(err, ErrNotSent) {
+			t.Errorf("%v, want ErrAbandoned and ErrNotSent", err)
+		}
+	}
+	close(release)
+	if err := <-results; err != nil {
+		t.Errorf("%v of the call that was sent before", err)
+	}
+	if _, err := do(t, p, addr, "next"); err != nil || received.Load() != 2 {
+		t.Errorf("%v of a later call, %d calls received, want 2", err, received.Load())
+	}
+}
--- a/internal/host/proxy/depart.go
+++ b/internal/host/proxy/depart.go
@@ -7,19 +7,23 @@
 func (srv *Server) wireDepartures() {
 	p := &srv.parts
 	p.engine.Departures = &p.departures
-	p.balancer.IsDraining = p.departures.IsDraining
+	p.balancer.IsDraining = func(id yuccahinge.SearcherID) bool { return p.departures.IsDraining(id) || p.stale.Contains(id) }
 	p.balancer.MayCallDraining = srv.mayCallDraining
 }
 
-// mayCallDraining reports whether a searcher that leaves is certain to serve still.
+// mayCallDraining reports whether a searcher that leaves is certain to serve still. That is not known of one that the platform lists as
+// leaving: the list tells of it late.
 func (srv *Server) mayCallDraining(now yuccahinge.Millis, id yuccahinge.SearcherID) bool {
 	since, ok := srv.parts.departures.Since(id)
-	return ok && now < since+srv.current.Load().Forward.SearcherDrainMs
+	return ok && !srv.parts.stale.Contains(id) && now < since+srv.current.Load().Forward.SearcherDrainMs
 }
 
-// MaySend reports whether a request may be sent to a searcher that was chosen for it before.
+// MaySend reports whether a request may be sent to a searcher that was chosen for it before, perhaps from an earlier list.
 func (srv *Server) MaySend(id yuccahinge.SearcherID) bool {
 	p := &srv.parts
+	if p.stale.Contains(id) {
+		return false
+	}
 	if p.departures.Draining() == 0 && p.holds.Len() == 0 {
 		return true
 	}
@@ -30,6 +34,9 @@
 // setSearchers applies a new list of searchers.
 func (srv *Server) setSearchers(services map[yuccahinge.ServiceName][]*yuccahinge.Registration) {
 	srv.parts.routeTable.SetSearchers(services)
+	for _, r := range srv.parts.stale.Update(srv.clock.Now(), services) {
+		srv.parts.conns.AbandonWaiting(r.Addr)
+	}
 	srv.parts.engine.RecordEnds(srv.parts.ended.Update(services)...)
 	listed := make(map[yuccahinge.SearcherID]bool)
 	for _, all := range services {
--- a/internal/host/proxy/depart_test.go
+++ b/internal/host/proxy/depart_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,3 +52,44 @@
 		t.Errorf("picked %q, want the new incarnation", id)
 	}
 }
+
+// TestChoiceFromAnEarlierListIsChecked guards against requests, retries and hedges to a searcher that was chosen, or is chosen, from a
+// list in which it was still ready.
+func TestChoiceFromAnEarlierListIsChecked(t *testing.T) {
+	srv := newProbingServer(new(fakeProber))
+	srv.wireDepartures()
+	list := func(registrations ...*yuccahinge.Registration) *yuccahinge.Index {
+		srv.setSearchers(map[yuccahinge.ServiceName][]*yuccahinge.Registration{"a": registrations})
+		return srv.Plan().Indexes[0]
+	}
+	a1, a2 := &yuccahinge.Registration{ID: "a1/1", Service: "a", Slots: 1}, &yuccahinge.Registration{ID: "a2/1", Service: "a", Slots: 1}
+	earlier := list(a1, a2)
+	picks := func() string {
+		found := ""
+		for _, id := range []yuccahinge.SearcherID{"a1/1", "a2/1"} {
+			tried := []yuccahinge.SearcherID{"a1/1", "a2/1"}
+			tried = slices.DeleteFunc(tried, func(other yuccahinge.SearcherID) bool { return other == id })
+			if _, ok := srv.parts.balancer.Pick(srv.clock.Now(), earlier, &earlier.Shards[0], tried); ok && srv.MaySend(id) {
+				found += string(id) + " "
+			}
+		}
+		return found
+	}
+	if got := picks(); got != "a1/1 a2/1 " {
+		t.Errorf("searchers that may be called: %q, want both", got)
+	}
+	draining := *a1
+	draining.Draining = true
+	list(&draining, a2)
+	if got := picks(); got != "a2/1 " {
+		t.Errorf("searchers that may be called while a1 is listed as draining: %q", got)
+	}
+	list(a1)
+	if got := picks(); got != "a1/1 " {
+		t.Errorf("searchers that may be called after a2 was removed and a1 was listed again: %q", got)
+	}
+	list()
+	if got := picks(); got != "" {
+		t.Errorf("searchers that may be called when none is listed: %q", got)
+	}
+}
--- a/internal/host/proxy/parts.go
+++ b/internal/host/proxy/parts.go
@@ -19,6 +19,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/peers/pool"
 	"github.com/yuccahinge/yuccahinge/internal/state/relay"
 	"github.com/yuccahinge/yuccahinge/internal/state/routes"
+	"github.com/yuccahinge/yuccahinge/internal/state/stale"
 	"github.com/yuccahinge/yuccahinge/internal/state/syncer"
 	"github.com/yuccahinge/yuccahinge/internal/state/watch"
 	"github.com/yuccahinge/yuccahinge/picker"
@@ -49,6 +50,8 @@
 	limits   ration.Limiter
 	// departures tracks the searchers that say that they leave.
 	departures depart.Tracker
+	// stale holds the searchers that the list of searchers no longer has as ready.
+	stale stale.Set
 	// holds tracks the searchers that want no requests from this host for a time.
 	holds   hold.Tracker
 	hedge   hedge.Policy
