Limit the memory of all response bodies in progress together

Cause: the bodies in progress, not heads (29 MB) nor replies that wait for their answer, since such a body never becomes a reply. Logs showed connectionLost only; now replyInvalid with the reason, and a metric.

--- a/internal/call/conns/persist_conn.go
+++ b/internal/call/conns/persist_conn.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/call/intake"
 )
 
 const (
@@ -160,31 +161,28 @@
 	limit := pc.peer.pool.maxReplyBytes()
 	// The limit counts bytes of the body only. A chunked body has framing around each chunk, so that more is read.
 	pc.limited.N = 2*limit + readBufferBytes
-	body, err := readBody(resp, limit)
+	body, err := pc.readBody(resp, limit)
 	if err != nil {
 		return nil, true, errors.Wrap(err, "incomplete response body")
 	}
-	if int64(len(body)) > limit {
-		return nil, true, errors.Newf("response body exceeds the limit of %d bytes", limit)
-	}
 	if call.Matches != nil && !call.Matches(resp.StatusCode, resp.Header) {
 		return nil, resp.Close, nil
 	}
 	return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, resp.Close, nil
 }
 
-// readBody reads a body, into a buffer of the exact size if the length is known. The result is longer than limit if the
-// body is.
-func readBody(resp *http.Response, limit int64) ([]byte, error) {
+// readBody reads a body within the memory that the bodies of all calls share. The connection is closed if it has to be given up.
+func (pc *persistConn) readBody(resp *http.Response, limit int64) ([]byte, error) {
 	if resp.Body == http.NoBody {
 		return nil, nil
 	}
-	if n := resp.ContentLength; n >= 0 && n <= limit {
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	return pc.peer.pool.bodies.Read(&intake.Body{
+		Source: pc.peer.addr,
+		Reader: resp.Body,
+		Length: resp.ContentLength,
+		Limit:  limit,
+		Cancel: func() { pc.close(intake.ErrNoMemory) },
+	})
 }
 
 // complete delivers the response to the call and reports whether the connection can be reused.
--- a/internal/call/conns/pool.go
+++ b/internal/call/conns/pool.go
@@ -17,6 +17,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/internal/call/intake"
 )
 
 // ErrNotSent marks the error of a call of which no byte was written.
@@ -79,8 +80,13 @@
 	Clock yuccahinge.Clock
 
 	peers sync.Map // of address to *peer
+	// bodies limits the memory of the responses that are being read.
+	bodies intake.Budget
 }
 
+// RepliesGivenUp returns how many responses were given up because those in progress took too much memory together.
+func (p *Pool) RepliesGivenUp() uint64 { return p.bodies.GivenUp() }
+
 // Do sends a call and waits for its response. If ctx ends after the call was sent, its connection is closed.
 func (p *Pool) Do(ctx context.Context, call *Call) (*Reply, error) {
 	target := p.peer(call.Addr)
--- a/internal/call/search/client.go
+++ b/internal/call/search/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/clock"
+	"github.com/yuccahinge/yuccahinge/internal/call/intake"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Clock yuccahinge.Clock
 
 	peers sync.Map // of address to *peer
+	// bodies limits the memory of the replies that are being read.
+	bodies intake.Budget
 }
 
 // Query sends one attempt. The outcome is NotRun only if that is certain: the transport never got the attempt, its body was
@@ -104,20 +107,29 @@
 	if resp.ContentLength > limit {
 		return failedResult(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, errTooLarge)
 	}
-	buf := buffers.Get().(*buffer)
-	defer buf.recycle()
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		reason := yuccahinge.ReasonInvalid
-		if ended := contextReason(ctx); ended != "" {
-			reason = ended
-		}
-		return failedResult(yuccahinge.Unknown, reason, id, err)
+	if 0 <= resp.ContentLength && resp.ContentLength <= maxPooled {
+		buf := buffers.Get().(*buffer)
+		defer buf.recycle()
+		_, err := buf.ReadFrom(resp.Body)
+		return decodeBody(ctx, buf.Bytes(), err, resp.StatusCode, id, r)
 	}
-	if n > limit {
-		return failedResult(yuccahinge.Unknown, yuccahinge.ReasonInvalid, id, errTooLarge)
+	text, err := c.bodies.Read(&intake.Body{
+		Source: string(id), Reader: resp.Body, Length: resp.ContentLength, Limit: limit,
+		Cancel: func() { _ = resp.Body.Close() }, // only to end the read
+	})
+	return decodeBody(ctx, text, err, resp.StatusCode, id, r)
+}
+
+// decodeBody returns the result of a reply whose body was read with an error or nil.
+func decodeBody(ctx context.Context, text []byte, err error, status int, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+	if err == nil {
+		return decode(text, status, id, r)
+	}
+	reason := yuccahinge.ReasonInvalid
+	if ended := contextReason(ctx); ended != "" {
+		reason = ended
 	}
-	return decode(buf.Bytes(), resp.StatusCode, id, r)
+	return failedResult(yuccahinge.Unknown, reason, id, err)
 }
 
 // Load requests the load report of a searcher.
--- a/internal/call/submit/client.go
+++ b/internal/call/submit/client.go
@@ -29,6 +29,9 @@
 	DefaultDialTimeout = yuccahinge.Second
 )
 
+// maxHeaderBytes bounds the header of a reply.
+const maxHeaderBytes = 16 << 10
+
 // Client calls POST /v1/charge of searchers. The zero value is ready to use. It always uses HTTP/1.1: each connection
 // then carries a single call, so an unwritten connection proves that the call was not sent.
 type Client struct {
@@ -84,8 +87,11 @@
 		},
 		DisableKeepAlives:  true,
 		DisableCompression: true,
-		MaxConnsPerHost:    c.maxConnections(),
-		Protocols:          protocols,
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
+
+		MaxConnsPerHost: c.maxConnections(),
+		Protocols:       protocols,
 	}
 	c.client = &http.Client{Transport: transport, CheckRedirect: blockRedirect}
 }
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -302,6 +302,9 @@
 	switch {
 	case r.result.Reason == yuccahinge.ReasonInvalid:
 		code = event.ReplyInvalid
+		if r.result.Err != nil {
+			detail += ": " + r.result.Err.Error()
+		}
 	case r.result.IsUnprovenRefusal():
 		code = event.ReplyInvalid
 		detail += fmt.Sprintf(": status %d without proof that the request did not run", r.result.FailureResponse.Status)
--- a/internal/host/proxy/status.go
+++ b/internal/host/proxy/status.go
@@ -79,6 +79,7 @@
 		{"yuccahinge.quarantined", "Requests that are refused because they crash searchers.", func() float64 { return float64(srv.parts.crashes.Confirmed()) }},
 		{"yuccahinge.searchers.held", "Searchers that want no requests from this host for a time, or did until lately.", func() float64 { return float64(srv.parts.holds.Len()) }},
 		{"yuccahinge.admitted.share", "Share of the requests that may start, over the index with the smallest.", func() float64 { return srv.parts.admit.MinShare(srv.clock.Now()) }},
+		{"yuccahinge.replies.given.up", "Replies of searchers that were given up, since those in progress took too much memory together.", func() float64 { return float64(srv.parts.conns.RepliesGivenUp()) }},
 		{"yuccahinge.log.dropped", "Lines of the log that were left out.", func() float64 { return float64(srv.logs.Dropped()) }},
 	} {
 		if err := srv.meter.Gauge(v.name, v.description, v.read); err != nil {
