Wait in the tests of processes until a paused process has stopped

Cause: the test took the process for stopped as soon as the signal was sent. On a busy machine its threads go on: 16 of 60 processes still ran, for 6.5 ms at most (24 busy processes beside them, a program of its own).

The test harness now waits until no thread runs. The checks are the same; a run before the stop can't pass for one after it any more.

40 runs of the test beside 24 busy processes did not show the failure before the change either.

--- a/internal/trial/system/process_test.go
+++ b/internal/trial/system/process_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -82,6 +83,38 @@
 	if err := p.cmd.Process.Signal(s); err != nil {
 		t.Fatalf("%s: %v", p.name, err)
 	}
+	if s == syscall.SIGSTOP {
+		p.awaitStopped(t)
+	}
+}
+
+// awaitStopped waits until no thread of the process runs: on a busy machine they go on for some milliseconds after SIGSTOP was sent.
+func (p *process) awaitStopped(t *testing.T) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); p.hasRunningThread(t); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s still runs 5 s after SIGSTOP", p.name)
+		}
+	}
+}
+
+func (p *process) hasRunningThread(t *testing.T) bool {
+	t.Helper()
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+	if err != nil || len(files) == 0 {
+		t.Fatalf("%s: no threads found, %v", p.name, err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			continue // the thread has ended
+		}
+		// The state follows the name, which is in parentheses.
+		if i := bytes.LastIndexByte(text, ')'); i < 0 || !bytes.HasPrefix(text[i:], []byte(") T")) {
+			return true
+		}
+	}
+	return false
 }
 
 // kill kills the process and waits until it has ended.
