--- a/internal/front/query/repeat_test.go
+++ b/internal/front/query/repeat_test.go
@@ -214,3 +214,25 @@
 		}
 	}
 }
+
+// TestRetryOfAWideRequestThatCrashesSearchers guards against a wide request that crashes a searcher of every shard again when its caller
+// retries it at another host at once: the first request can't be known before, its retries can.
+func TestRetryOfAWideRequestThatCrashesSearchers(t *testing.T) {
+	const shards = 20
+	synctest.Test(t, func(t *testing.T) {
+		cl := newCluster(8)
+		cl.delay = 20 * time.Millisecond
+		for i := range 16 {
+			_, err := cl.hosts[i%8].Forward(t.Context(), cl.newRequest(fmt.Sprint("r", i), "10.0.0.1", crashTarget, shards))
+			if err == nil {
+				t.Errorf("request %d has an answer", i)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		// One shard alone is tried again by the first request, and one by each of the two that confirm it.
+		if cl.crashes < shards || cl.crashes > shards+3 {
+			t.Errorf("%d searchers crashed, want one of each shard and three more at most", cl.crashes)
+		}
+		time.Sleep(time.Second)
+	})
+}
