Don't answer 503 in the API of serve for a charge that may have run

An error "unavailable" with the outcome unknown was sent with status 503, as when a leaving or overloaded host gets a charge whose claim another host may run. The body said "unknown", but a caller that goes by the status sends the charge again under a new claim.

Cause: the status followed from the code alone. It is 504 now unless the outcome is notRun, as it is already for a charge that ran into its deadline. A failed grant says notRun, which is true: it runs nothing.

TestUnavailableIsNoPromise failed before:

outcome "unknown": status 503, want 504 a charge whose claim another host may run got 503 {... "outcome":"unknown"}

--- a/internal/front/charge/grant.go
+++ b/internal/front/charge/grant.go
@@ -45,6 +45,7 @@
 	if err := c.Peers.Call(ctx, m.PeerAddr, methodGrant, &r, &reply); err != nil {
 		return yuccahinge.ClaimGrant{}, &yuccahinge.Error{
 			Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepForward, Peer: m.ID, Message: "grant request to the host failed", Err: err,
+			Outcome: yuccahinge.NotRun, // a grant runs nothing
 		}
 	}
 	return reply.Grant, reply.Error.err()
--- a/internal/front/entry/errors.go
+++ b/internal/front/entry/errors.go
@@ -71,7 +71,11 @@
 	if e.RetryAfterMs > 0 {
 		w.Header().Set("Retry-After", strconv.FormatFloat(float64(e.RetryAfterMs/yuccahinge.Second), 'f', 3, 64))
 	}
-	render.JSON(w, statusOf(e.Code), body)
+	status := statusOf(e.Code)
+	if status == http.StatusServiceUnavailable && body.Outcome != yuccahinge.NotRun {
+		status = http.StatusGatewayTimeout // 503 would promise that the request did not run
+	}
+	render.JSON(w, status, body)
 }
 
 func newErrorDetail(e *yuccahinge.Error) errorDetail {
--- a/internal/front/entry/server_test.go
+++ b/internal/front/entry/server_test.go
@@ -105,3 +105,25 @@
 		t.Errorf("status %d, Retry-After %q, want 503 and 0.010", w.Code, got)
 	}
 }
+
+// TestUnavailableIsNoPromise guards against status 503, which callers take for a promise that nothing ran, beside an unknown outcome.
+func TestUnavailableIsNoPromise(t *testing.T) {
+	for outcome, want := range map[yuccahinge.Outcome]int{
+		yuccahinge.NotRun: http.StatusServiceUnavailable, yuccahinge.Unknown: http.StatusGatewayTimeout, "": http.StatusGatewayTimeout,
+	} {
+		w := httptest.NewRecorder()
+		writeError(w, "r", &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepDrain, Outcome: outcome})
+		if w.Code != want {
+			t.Errorf("outcome %q: status %d, want %d", outcome, w.Code, want)
+		}
+	}
+	s := &Server{MaxInFlight: 1}
+	s.inFlight.Add(1)
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodPost, "/v1/charge/s", strings.NewReader(`{"key":"k"}`))
+	r.Header.Set("Claim", "c1")
+	s.Handler().ServeHTTP(w, r)
+	if w.Code != http.StatusGatewayTimeout || !strings.Contains(w.Body.String(), `"outcome":"unknown"`) {
+		t.Errorf("a charge whose claim another host may run got %d %s", w.Code, w.Body)
+	}
+}
