--- a/internal/state/watch/fleet_test.go
+++ b/internal/state/watch/fleet_test.go
@@ -440,6 +440,8 @@
 				continue
 			case hosts > 8:
 				delays = delays[2:3]
+			case testing.Short():
+				delays = delays[2:4]
 			}
 			for _, delay := range delays {
 				t.Run(fmt.Sprintf("%s, %d hosts, removed after %d ms", name, hosts, delay), func(t *testing.T) {
