Read the platform at once if neither readers nor substitutes give a list

A follower whose readers are silent and whose substitutes say that they can't read the platform took that for an outage: it waited for up to 750 ms more before its own read, over 3 s after a departure in the worst case.

Cause: the substitutes' refusal replaced the error of the readers. The readers' error is returned now, so that silence leads to an own read at once and a refusal of the readers to the spread reads as before.

TestSubstitutesThatRefuseDelayNothing failed before:

e7 got <nil>, platform: this host can't read the platform, want an error that makes it read the platform

--- a/internal/state/relay/relay_test.go
+++ b/internal/state/relay/relay_test.go
@@ -311,3 +311,22 @@
 		}
 	})
 }
+
+// TestSubstitutesThatRefuseDelayNothing guards against a host that reaches no reader and still does not read the platform itself,
+// because its substitutes say that they can't.
+func TestSubstitutesThatRefuseDelayNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHosts(8)
+		for _, id := range h.readers() {
+			h.cut[id] = true
+		}
+		for id, r := range h.relays {
+			if r.IsReader() {
+				continue
+			}
+			if b, err := r.Watch(t.Context(), yuccahinge.Position{}, 1000); err == nil || errors.Is(err, yuccahinge.ErrPlatformUnavailable) {
+				t.Errorf("%s got %+v, %v, want an error that makes it read the platform", id, b, err)
+			}
+		}
+	})
+}
--- a/internal/state/relay/watch.go
+++ b/internal/state/relay/watch.go
@@ -85,8 +85,8 @@
 	switch {
 	case err == nil && refused:
 		r.passOver(refusedMs, readers...)
-	case err != nil && refused:
-		err = cause
+	case err != nil:
+		err = cause // a host that reaches no reader must not wait for the substitutes to be able to read
 	}
 	return b, err
 }
