Log which read of the configuration a host missed, and the ticket of refusals

The logs could not tell whether a host that began to read the configuration had lost its readers or only not heard of their reads, nor by which version a request was refused. The event readerElected of the configuration now says why: elected, or how long ago the last known read was and by whom. No change of behaviour.

--- a/internal/host/proxy/server.go
+++ b/internal/host/proxy/server.go
@@ -156,9 +156,9 @@
 // Connections returns the pool of connections to searchers.
 func (srv *Server) Connections() *conns.Pool { return &srv.parts.conns }
 
-// RecordRefusal records a request that the callers' handler refused without running it.
-func (srv *Server) RecordRefusal(id yuccahinge.RequestID, status int, reason string) {
-	srv.events.Record(yuccahinge.Event{Code: event.SearchRefused, Request: id, Detail: fmt.Sprintf("%d %s", status, reason)})
+// RecordRefusal records a request that the callers' handler refused without running it, and the ticket that it was judged by.
+func (srv *Server) RecordRefusal(id yuccahinge.RequestID, ticket yuccahinge.TicketNumber, status int, reason string) {
+	srv.events.Record(yuccahinge.Event{Code: event.SearchRefused, Request: id, Ticket: ticket, Detail: fmt.Sprintf("%d %s", status, reason)})
 }
 
 func (srv *Server) record(code yuccahinge.EventCode, detail string) {
--- a/internal/state/syncer/platform.go
+++ b/internal/state/syncer/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/event"
@@ -80,9 +81,25 @@
 func (s *Syncer) recordReaderChange(wasReader, isReader bool) {
 	switch {
 	case isReader && !wasReader:
-		s.record(yuccahinge.Event{Code: event.ReaderElected})
+		s.record(yuccahinge.Event{Code: event.ReaderElected, Ticket: s.numberInForce(), Detail: s.readerReason()})
 	case wasReader && !isReader:
-		s.record(yuccahinge.Event{Code: event.ReaderStoodDown})
+		s.record(yuccahinge.Event{Code: event.ReaderStoodDown, Detail: "configuration"})
+	}
+}
+
+// readerReason returns why this host reads the platform's head.
+func (s *Syncer) readerReason() string {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last, known := s.node.LastKnownRead(now)
+	switch {
+	case s.node.IsElected():
+		return "configuration: elected"
+	case !known:
+		return "configuration: no other host is known to have read it"
+	default:
+		return fmt.Sprintf("configuration: %.0f ms since the last known read, by %s", last.AgeMs, last.Reader)
 	}
 }
 
--- a/spread/read.go
+++ b/spread/read.go
@@ -135,6 +135,13 @@
 	return node.reads.isFallback
 }
 
+// LastKnownRead returns the newest known read of another host that makes a read by this one unnecessary, and false if there was none.
+func (node *Node) LastKnownRead(now yuccahinge.Millis) (Read, bool) {
+	known := node.reads.peer
+	known.read.AgeMs = max(0, now-known.at)
+	return known.read, known.isSet
+}
+
 // fallbackDelay returns how long to wait for a read by another host. It allows for the time a read takes to reach all
 // hosts of the domain: exchanges go both ways, so the number of hosts that know it more than doubles in each
 // interval.
