Read the configuration often enough for its bound

Callers were served by a version that had been replaced more than 5 s before (3 s on the small deployments), when connections to the store fell silent, or the elected readers lost it, right after a change and before the next.

Cause: the delays of reads were constants that did not know of the bound. A reader gave up a dead long poll 5.2 s after its start, and a change makes all readers start theirs at the same moment. A host that isn't elected relied on the last known read for 4.5 to 5.5 s with 24 hosts in a domain.

The age of a read counts from when the request was sent that a report answers, and reports in requests, whose way may have been long, don't count. Without the setting nothing changes.

--- a/internal/host/config/forward.go
+++ b/internal/host/config/forward.go
@@ -16,6 +16,9 @@
 	LogLines       int               `json:"logLines"`
 	// SearcherDrainMs is how long a searcher serves after it has said that it leaves.
 	SearcherDrainMs yuccahinge.Millis `json:"searcherDrainMs"`
+	// TicketMs is the time within which a ticket that the platform has confirmed must be in force on every host that reaches the platform;
+	// zero for no bound.
+	TicketMs yuccahinge.Millis `json:"ticketMs"`
 	// EvacuateMs is the time within which the evacuation of a failure domain is in force; zero if the platform asks for none.
 	EvacuateMs yuccahinge.Millis `json:"evacuateMs"`
 	// In any second a cold searcher gets at most WarmupOvershoot times the warm-up rate of its service and WarmupSlack requests from all
--- a/internal/host/proxy/wire.go
+++ b/internal/host/proxy/wire.go
@@ -9,6 +9,7 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/internal/front/admin"
 	"github.com/yuccahinge/yuccahinge/internal/front/conn"
+	"github.com/yuccahinge/yuccahinge/internal/host/config"
 )
 
 const (
@@ -92,6 +93,7 @@
 	sy.Seed = srv.seed()
 	sy.PauseThresholdMs = srv.Settings.Limits.PauseThresholdMs
 	sy.WatchWaitMs = ticketWatchMs
+	sy.BoundMs = ticketBound(&srv.Settings.Forward)
 	sy.OnAdopt = func(s *yuccahinge.State) { p.routeTable.SetRouting(s.Routing) }
 	sy.Register(p.peers.Handle)
 	srv.wireEvacuations()
@@ -114,6 +116,15 @@
 	w.Seed = srv.seed()
 }
 
+// ticketBound returns the time within which what the operator writes must be in force on every host, or zero. Evacuations are read and
+// sent with the tickets.
+func ticketBound(s *config.Forward) yuccahinge.Millis {
+	if s.TicketMs > 0 && s.EvacuateMs > 0 {
+		return min(s.TicketMs, s.EvacuateMs)
+	}
+	return max(s.TicketMs, s.EvacuateMs)
+}
+
 // ticketWatchMs is the long-poll timeout of a watch for tickets. A call without a response is abandoned soon after it, so
 // it also bounds how long a dead connection stays undetected.
 const ticketWatchMs = 4 * yuccahinge.Second
--- a/internal/state/syncer/platform.go
+++ b/internal/state/syncer/platform.go
@@ -21,6 +21,11 @@
 	readerCheckEvery = yuccahinge.Millis(250)
 	// readTimeout is the timeout of a platform read, in addition to the wait that it requests.
 	readTimeout = 3 * yuccahinge.Second
+	// readTimeoutShare bounds the timeout of a read as a share of BoundMs.
+	readTimeoutShare = 0.4
+	// firstReadWait is the wait of the first read of a host that reads because it knows of no recent read. It returns at once, so that
+	// other hosts soon know of a read.
+	firstReadWait = yuccahinge.Millis(1)
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff = yuccahinge.Millis(250)
 	maxBackoff   = 3 * yuccahinge.Second
@@ -44,13 +49,15 @@
 	for ctx.Err() == nil {
 		after, isReader := s.watchTarget()
 		s.recordReaderChange(wasReader, isReader)
+		wait := s.watchWait(wasReader)
 		wasReader = isReader
 		s.watchingHead.Store(isReader && !platformDown)
+		s.askForRead()
 		if !isReader {
 			s.sleep(ctx, readerCheckEvery)
 			continue
 		}
-		err := s.readHead(ctx, after, orDefault(s.WatchWaitMs, DefaultWatchWait))
+		err := s.readHead(ctx, after, wait)
 		if ctx.Err() != nil {
 			break
 		}
@@ -63,11 +70,43 @@
 			continue
 		}
 		s.sleep(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+		backoff = min(2*backoff, s.maxRetryDelay())
 	}
 	return nil
 }
 
+// watchWait returns how long the next read of the head waits for a change.
+func (s *Syncer) watchWait(wasReader bool) yuccahinge.Millis {
+	wait := orDefault(s.WatchWaitMs, DefaultWatchWait)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.BoundMs <= 0:
+		return wait
+	case !wasReader && !s.node.IsElected():
+		return firstReadWait
+	default:
+		return min(wait, s.node.WatchWait())
+	}
+}
+
+// maxRetryDelay returns the longest delay of a read after a failed one.
+func (s *Syncer) maxRetryDelay() yuccahinge.Millis {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return orDefault(s.node.MaxRetryDelay(), maxBackoff)
+}
+
+// askForRead exchanges with a host that may know of a newer read than this one, if the last read that this one knows of is old.
+func (s *Syncer) askForRead() {
+	now := s.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if peer, ok := s.roster.Find(s.node.HostToAsk(now)); ok {
+		s.startCall(func() { _ = s.exchange(s.ctx, peer, nil) })
+	}
+}
+
 // minReadInterval is the minimum time between two reads of the head.
 const minReadInterval = yuccahinge.Millis(20)
 
@@ -113,7 +152,7 @@
 }
 
 func (s *Syncer) readHead(ctx context.Context, after yuccahinge.TicketNumber, wait yuccahinge.Millis) error {
-	callCtx, cancel := context.WithTimeout(ctx, (wait + readTimeout).Duration())
+	callCtx, cancel := context.WithTimeout(ctx, (wait + s.readTimeout()).Duration())
 	defer cancel()
 	head, err := s.Source.Head(callCtx, after, wait)
 	if errors.Is(err, yuccahinge.ErrInvalidState) {
@@ -131,6 +170,14 @@
 	return s.runReads(ctx, decisions)
 }
 
+// readTimeout returns the timeout of a read, in addition to the wait that it requests.
+func (s *Syncer) readTimeout() yuccahinge.Millis {
+	if s.BoundMs > 0 {
+		return min(readTimeout, readTimeoutShare*s.BoundMs)
+	}
+	return readTimeout
+}
+
 // runReads carries out platform reads one after another, including those that follow from them, and applies all other
 // decisions.
 func (s *Syncer) runReads(ctx context.Context, decisions []spread.Decision) error {
@@ -158,7 +205,7 @@
 }
 
 func (s *Syncer) readTicket(ctx context.Context, n yuccahinge.TicketNumber) ([]spread.Decision, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, s.readTimeout().Duration())
 	defer cancel()
 	t, err := s.Source.Ticket(callCtx, n)
 	now := s.Clock.Now()
@@ -177,7 +224,7 @@
 }
 
 func (s *Syncer) readState(ctx context.Context) ([]spread.Decision, error) {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, s.readTimeout().Duration())
 	defer cancel()
 	state, err := s.Source.State(callCtx)
 	if err != nil {
@@ -210,7 +257,7 @@
 
 // readMembers reads the membership list and returns the number of rows; 0 if the read failed.
 func (s *Syncer) readMembers(ctx context.Context) int {
-	callCtx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, s.readTimeout().Duration())
 	defer cancel()
 	list, err := s.Source.Members(callCtx)
 	if err != nil {
--- a/internal/state/syncer/syncer.go
+++ b/internal/state/syncer/syncer.go
@@ -54,7 +54,10 @@
 
 	// IntervalMs is the time between two rounds of exchanges with peers.
 	IntervalMs yuccahinge.Millis
-	// WatchWaitMs is how long one long poll of the platform's head waits.
+	// BoundMs is the time within which a ticket must be in force on every host that reaches the platform. Zero means that there is no
+	// bound, and default delays.
+	BoundMs yuccahinge.Millis
+	// WatchWaitMs is how long one long poll of the platform's head waits, or less if BoundMs requires it.
 	WatchWaitMs yuccahinge.Millis
 	// ListIntervalMs is the minimum time between two reads of the membership list.
 	ListIntervalMs yuccahinge.Millis
@@ -162,6 +165,7 @@
 	s.node.Domain = s.Self.Domain
 	s.node.Seed = s.Seed
 	s.node.IntervalMs = s.exchangeInterval()
+	s.node.BoundMs = s.BoundMs
 	now := s.Clock.Now()
 	s.startedAt = now
 	s.timerRand.seed(s.Seed, s.Self.ID)
--- a/internal/state/syncer/syncer_test.go
+++ b/internal/state/syncer/syncer_test.go
@@ -37,9 +37,11 @@
 	tickets []*yuccahinge.Ticket
 	state   *yuccahinge.State
 	down    bool
-	reads   int
-	syncers []*Syncer
-	events  []yuccahinge.Event
+	// deadUntil ends the reads that began before it and get no answer, since their connections are dead.
+	deadUntil time.Time
+	reads     int
+	syncers   []*Syncer
+	events    []yuccahinge.Event
 }
 
 type peerCaller struct {
@@ -88,12 +90,17 @@
 }
 
 func (f *testFleet) Head(ctx context.Context, after yuccahinge.TicketNumber, wait yuccahinge.Millis) (yuccahinge.TicketNumber, error) {
-	end := time.Now().Add(wait.Duration())
+	start := time.Now()
+	end := start.Add(wait.Duration())
 	for {
 		f.mu.Lock()
-		head, down := yuccahinge.TicketNumber(len(f.tickets)), f.down
+		head, down, isDead := yuccahinge.TicketNumber(len(f.tickets)), f.down, start.Before(f.deadUntil)
 		f.reads++
 		f.mu.Unlock()
+		if isDead {
+			<-ctx.Done()
+			return 0, ctx.Err()
+		}
 		if down {
 			return 0, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform}
 		}
--- a/spread/message.go
+++ b/spread/message.go
@@ -41,6 +41,8 @@
 	Update *Update `json:"parcel,omitempty"`
 	// SummaryOnly requests a reply without an Update.
 	SummaryOnly bool `json:"quiet,omitempty"`
+
+	createdAt yuccahinge.Millis // at the sender
 }
 
 // Reply answers a Request. Its Update is set when the requesting host is behind.
--- a/spread/node.go
+++ b/spread/node.go
@@ -7,6 +7,7 @@
 package spread
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -38,6 +39,9 @@
 	Seed uint64
 	// IntervalMs is the interval between two exchanges of a host; zero means DefaultInterval.
 	IntervalMs yuccahinge.Millis
+	// BoundMs is the time within which a ticket must be in force on every host that reaches the platform. The delays of reads follow
+	// from it. Zero means that there is no bound.
+	BoundMs yuccahinge.Millis
 
 	state *yuccahinge.State
 	// size is the size of the state's JSON form in bytes; zero until it is needed.
@@ -47,6 +51,8 @@
 	conflictNumber  yuccahinge.TicketNumber
 	reportedDigests map[yuccahinge.Digest]bool
 	members         []yuccahinge.Member
+	// readerOrder holds the live hosts of the domain in the order in which they are elected to read the platform.
+	readerOrder []string
 	// peerNumbers is the highest number known to be in force on each other host.
 	peerNumbers map[yuccahinge.HostID]yuccahinge.TicketNumber
 	rand        *rand.Rand
@@ -94,13 +100,14 @@
 
 // NewRequest returns a request that opens an exchange. The caller may set Update.
 func (node *Node) NewRequest(now yuccahinge.Millis) Request {
-	return Request{Summary: node.Summary(now)}
+	return Request{Summary: node.Summary(now), createdAt: now}
 }
 
 // HandleRequest handles another host's request and returns the reply to it.
 func (node *Node) HandleRequest(now yuccahinge.Millis, r Request) (Reply, []Decision) {
 	out := node.acceptUpdate(r.Summary.Host, r.Update)
-	out = append(out, node.acceptSummary(now, r.Summary)...)
+	node.recordRead(now, r.Summary.Read, false)
+	out = append(out, node.acceptSummary(r.Summary)...)
 	// The reply shows the requesting host what this one lacks, and that host then sends it.
 	out = slices.DeleteFunc(out, func(d Decision) bool {
 		return d.Kind == Exchange && d.Peer == r.Summary.Host && d.Number == 0
@@ -115,7 +122,8 @@
 // HandleReply handles the reply to a request of this host.
 func (node *Node) HandleReply(now yuccahinge.Millis, sent Request, r Reply) []Decision {
 	out := node.acceptUpdate(r.Summary.Host, r.Update)
-	out = append(out, node.acceptSummary(now, r.Summary)...)
+	node.recordRead(cmp.Or(sent.createdAt, now), r.Summary.Read, true)
+	out = append(out, node.acceptSummary(r.Summary)...)
 	if sent.SummaryOnly || isRefused(sent.Update, r.Summary) {
 		return out
 	}
@@ -139,9 +147,8 @@
 }
 
 // acceptSummary handles a summary from another host.
-func (node *Node) acceptSummary(now yuccahinge.Millis, sum Summary) []Decision {
+func (node *Node) acceptSummary(sum Summary) []Decision {
 	node.recordNumber(sum.Host, sum.Number)
-	node.recordRead(now, sum.Read)
 	if sum.Conflict <= max(node.Number(), sum.Number) {
 		node.conflictNumber = max(node.conflictNumber, sum.Conflict)
 	}
--- a/spread/read.go
+++ b/spread/read.go
@@ -22,6 +22,26 @@
 	fallbackJitter = 1 * yuccahinge.Second
 )
 
+// Shares of Node.BoundMs, the time in which a ticket must be in force everywhere. What they leave of it is for a read and for sending
+// its result to the other hosts.
+const (
+	// watchShare bounds the wait of a long poll. A reader on a dead connection notices it only after that.
+	watchShare = 1.0 / 3
+	// askShare is the age of the last known read from which a host asks others, first the elected ones, for a newer one.
+	askShare = 0.4
+	// substituteShare is the age from which the first hosts after the elected ones read the platform, and fallbackShare that
+	// from which every host does, after up to jitterShare more.
+	substituteShare = 0.55
+	fallbackShare   = 0.7
+	jitterShare     = 0.05
+	// retryShare bounds the delay of an elected reader after a failed read.
+	retryShare = 0.2
+)
+
+// substitutesPerDomain is the number of hosts in each failure domain that read the platform before all others do, when no
+// read by the elected ones is known.
+const substitutesPerDomain = 2
+
 // readTracker tracks the successful reads of the platform known to this host.
 type readTracker struct {
 	// newest is the newest known read, own the newest by this host, and peer the newest by a host whose reads
@@ -31,11 +51,13 @@
 	peer   observedRead
 	// confirmed is the last read that showed the state in force to be the newest.
 	confirmed observedRead
-	// started holds the time of the first call, and jitter this host's random delay.
+	// started holds the time of the first call, and jitter this host's random share of the longest extra delay, 0 to 1.
 	started observedRead
 	jitter  yuccahinge.Millis
 	// isFallback reports whether this host reads the platform without being elected.
 	isFallback bool
+	// asked counts the hosts that were asked for a newer read.
+	asked int
 }
 
 // observedRead is a read and its time on this host's clock. The zero value means that there was none.
@@ -75,15 +97,23 @@
 	}
 }
 
-// recordRead records a read reported by another host. A head below the number in force comes from a stale copy
-// of the platform and is ignored.
-func (node *Node) recordRead(now yuccahinge.Millis, read Read) {
+// recordRead records a read that another host has reported. A head below the number in force comes from a stale copy of the
+// platform and is ignored. The age counts from the time sent, that of the request that a reply answers. How long a request itself was on
+// its way is unknown, so with a bound its read is ignored, and one that found a ticket that this host lacks is no reason not to read here.
+func (node *Node) recordRead(sent yuccahinge.Millis, read Read, inReply bool) {
 	if read.Reader == "" || read.Reader == node.Self || !(read.AgeMs >= 0) || read.Head < node.Number() {
 		return
 	}
-	at := now - read.AgeMs
+	hasBound := node.BoundMs > 0
+	if hasBound && !inReply {
+		return
+	}
+	at := sent - read.AgeMs
 	node.reads.newest.update(at, read)
 	node.reads.confirm(node.Number())
+	if hasBound && read.Head > node.Number() {
+		return
+	}
 	// Of two hosts that read the platform as a fallback, the one with the lower id goes on reading.
 	if !node.reads.isFallback || read.Reader < node.Self || node.isElected(read.Reader) {
 		node.reads.peer.update(at, read)
@@ -94,6 +124,7 @@
 // more than twice the current hosts are kept.
 func (node *Node) SetMembers(now yuccahinge.Millis, members []yuccahinge.Member) {
 	node.members = members
+	node.readerOrder = rendez.Order("reader/"+string(node.Domain), node.liveIDs(node.Domain))
 	node.initReads(now)
 	if len(node.peerNumbers) <= 2*len(members) {
 		return
@@ -111,15 +142,56 @@
 		return
 	}
 	node.reads.started.update(now, Read{})
-	node.reads.jitter = yuccahinge.Millis(node.random().Float64()) * fallbackJitter
+	node.reads.jitter = yuccahinge.Millis(node.random().Float64())
 }
 
 // IsElected reports whether this host is one of those elected in its failure domain to read the platform.
 func (node *Node) IsElected() bool { return node.isElected(node.Self) }
 
 func (node *Node) isElected(id yuccahinge.HostID) bool {
-	order := rendez.Order("reader/"+string(node.Domain), node.liveIDs(node.Domain))
-	return slices.Contains(order[:min(ReadersPerDomain, len(order))], string(id))
+	return slices.Contains(node.readerOrder[:min(ReadersPerDomain, len(node.readerOrder))], string(id))
+}
+
+// isSubstitute reports whether this host is among the first ones that read the platform in place of the elected ones.
+func (node *Node) isSubstitute() bool {
+	at := slices.Index(node.readerOrder, string(node.Self))
+	return at >= ReadersPerDomain && at < ReadersPerDomain+substitutesPerDomain
+}
+
+// WatchWait returns how long a read of the platform should wait for a change; zero if there is no bound.
+func (node *Node) WatchWait() yuccahinge.Millis { return watchShare * node.BoundMs }
+
+// MaxRetryDelay returns the longest delay of this host's next read after a failed one; zero if there is no bound for it.
+func (node *Node) MaxRetryDelay() yuccahinge.Millis {
+	if !node.IsElected() {
+		return 0
+	}
+	return retryShare * node.BoundMs
+}
+
+// HostToAsk returns a host to exchange with because the last known read is old, or "" if there is none to ask. Calls go round the
+// elected hosts and their substitutes, since any of them may be unable to read or to reply.
+func (node *Node) HostToAsk(now yuccahinge.Millis) yuccahinge.HostID {
+	if node.BoundMs <= 0 || node.IsElected() || now-node.lastRead() <= askShare*node.BoundMs {
+		return ""
+	}
+	ids := node.electedPeers(ReadersPerDomain + substitutesPerDomain)
+	if len(ids) == 0 {
+		return ""
+	}
+	node.reads.asked++
+	return ids[node.reads.asked%len(ids)]
+}
+
+// electedPeers returns the other ones of the first n hosts in the order of election.
+func (node *Node) electedPeers(n int) []yuccahinge.HostID {
+	var out []yuccahinge.HostID
+	for _, id := range node.readerOrder[:min(n, len(node.readerOrder))] {
+		if id != string(node.Self) {
+			out = append(out, yuccahinge.HostID(id))
+		}
+	}
+	return out
 }
 
 // ShouldRead reports whether this host should read the platform now: as an elected reader, or as a fallback because
@@ -130,11 +202,27 @@
 		node.reads.isFallback = false
 		return true
 	}
-	last := max(node.reads.started.at, node.reads.peer.at)
-	node.reads.isFallback = now-last > node.fallbackDelay()+node.reads.jitter
+	node.reads.isFallback = now-node.lastRead() > node.readDelay()
 	return node.reads.isFallback
 }
 
+// lastRead returns the time of the last known read by another host, or that of the start.
+func (node *Node) lastRead() yuccahinge.Millis {
+	return max(node.reads.started.at, node.reads.peer.at)
+}
+
+// readDelay returns the age of the last known read from which this host, which isn't elected, reads the platform.
+func (node *Node) readDelay() yuccahinge.Millis {
+	switch {
+	case node.BoundMs <= 0:
+		return node.fallbackDelay() + node.reads.jitter*fallbackJitter
+	case node.isSubstitute():
+		return substituteShare * node.BoundMs
+	default:
+		return (fallbackShare + jitterShare*node.reads.jitter) * node.BoundMs
+	}
+}
+
 // LastKnownRead returns the newest known read of another host that makes a read by this one unnecessary, and false if there was none.
 func (node *Node) LastKnownRead(now yuccahinge.Millis) (Read, bool) {
 	known := node.reads.peer
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -17,7 +17,8 @@
 const (
 	stepInterval   = yuccahinge.Millis(20)
 	convergeWithin = 8 * yuccahinge.Second
-	maxDelay       = 60
+	askInterval    = yuccahinge.Millis(250)
+	defaultDelay   = 60
 )
 
 // replica is a copy of the platform: a chain of tickets and the whole state after them.
@@ -69,20 +70,29 @@
 	roster      *roster.Roster
 	next        yuccahinge.Millis
 	nextRead    yuccahinge.Millis
+	nextAsk     yuccahinge.Millis
 	pausedUntil yuccahinge.Millis
 	highest     yuccahinge.TicketNumber
 	domain      int
 }
 
+// fataler is a *testing.T or a *rapid.T.
+type fataler interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // sim runs hosts over a simulated network and platform with injected faults.
 type sim struct {
-	t         *rapid.T
-	now       yuccahinge.Millis
-	rand      *rand.Rand
-	hosts     []*simHost
-	members   []yuccahinge.Member
-	replicas  [2]replica
-	inFlight  []message
+	t        fataler
+	now      yuccahinge.Millis
+	rand     *rand.Rand
+	hosts    []*simHost
+	members  []yuccahinge.Member
+	replicas [2]replica
+	inFlight []message
+	// maxDelay is the longest time that a message is on its way, in milliseconds.
+	maxDelay  int
 	loss      float64
 	duplicate float64
 	cut       func(from, to int) bool
@@ -90,13 +100,17 @@
 	refuseOpen func(from, to int) bool
 	// noPlatform holds the hosts that can't reach the platform.
 	noPlatform map[int]bool
+	// bound is Node.BoundMs of hosts that start.
+	bound yuccahinge.Millis
+	// reads counts the reads of hosts that aren't elected.
+	reads int
 	// digests holds every digest that applying published tickets can give.
 	digests  map[yuccahinge.Digest]bool
 	hasRaced bool
 }
 
-func newSim(t *rapid.T, domains, each int, seed uint64) *sim {
-	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), digests: map[yuccahinge.Digest]bool{"": true}, noPlatform: map[int]bool{}}
+func newSim(t fataler, domains, each int, seed uint64) *sim {
+	s := &sim{t: t, rand: rand.New(rand.NewPCG(seed, 1)), maxDelay: defaultDelay, digests: map[yuccahinge.Digest]bool{"": true}, noPlatform: map[int]bool{}}
 	for i := range domains * each {
 		m := yuccahinge.Member{
 			ID: fmt.Sprintf("h%02d", i), Domain: yuccahinge.DomainID(fmt.Sprint("d", i%domains)),
@@ -115,7 +129,7 @@
 func (s *sim) restart(i int) {
 	m := s.members[i]
 	s.hosts[i] = &simHost{
-		node: &Node{Self: yuccahinge.HostID(m.ID), Domain: m.Domain, Seed: s.rand.Uint64()},
+		node: &Node{Self: yuccahinge.HostID(m.ID), Domain: m.Domain, Seed: s.rand.Uint64(), BoundMs: s.bound},
 		next: s.now + yuccahinge.Millis(s.rand.Float64())*DefaultInterval, domain: s.hosts[i].domain,
 	}
 	s.hosts[i].node.SetMembers(s.now, s.members)
@@ -191,13 +205,20 @@
 			s.send(i, s.index(m.ID), nil)
 		}
 	}
+	if s.now >= h.nextAsk {
+		h.nextAsk = s.now + askInterval
+		s.send(i, s.index(string(h.node.HostToAsk(s.now))), nil)
+	}
 	if s.now >= h.nextRead && h.node.ShouldRead(s.now) {
 		s.read(i, h)
 	}
 }
 
 func (s *sim) read(i int, h *simHost) {
-	h.nextRead = s.now + DefaultInterval
+	h.nextRead = s.now + max(DefaultInterval, h.node.WatchWait())
+	if !h.node.IsElected() {
+		s.reads++
+	}
 	r := &s.replicas[h.domain%2]
 	if r.down || s.noPlatform[i] {
 		return
@@ -256,7 +277,7 @@
 		copies = 0
 	}
 	for range copies {
-		m.at = s.now + yuccahinge.Millis(1+s.rand.IntN(maxDelay))
+		m.at = s.now + yuccahinge.Millis(1+s.rand.IntN(s.maxDelay))
 		s.inFlight = append(s.inFlight, m)
 	}
 }
