Test hosts whose settings name no limits, odd lines, and all ports at once

Clients outside the limits take all memory of a host that was started without limits.memoryMb and limits.descriptors: peaks of 46 to 174 MB where 72 are allowed, 166 to 241 descriptors where 120 are. Crowd and bounds are those of the other tests of the package.

--- a/internal/trial/flood/crowd_test.go
+++ b/internal/trial/flood/crowd_test.go
@@ -32,6 +32,18 @@
 	legalLines = pattern(func(c net.Conn, s *site) error {
 		return hold(c, s.head(""), legalHead())
 	})
+	// foldedLines continues one header line again and again.
+	foldedLines = pattern(func(c net.Conn, s *site) error {
+		return repeat(c, s.head("X: x\r\n"), strings.Repeat(" \r\n", 5_000), "\r\n")
+	})
+	// linesWithoutColon is a head that is malformed from its first line on.
+	linesWithoutColon = pattern(func(c net.Conn, s *site) error {
+		return hold(c, s.head(""), strings.Repeat("x\r\n", 5_000))
+	})
+	// repeatedFields has many lines of one field that must not occur more than once.
+	repeatedFields = pattern(func(c net.Conn, s *site) error {
+		return hold(c, s.head(""), strings.Repeat("Transfer-Encoding:\r\n", 700))
+	})
 	partialBody = pattern(func(c net.Conn, s *site) error {
 		return hold(c, s.head(fmt.Sprintf("Content-Length: %d\r\n", bodyBytes))+"\r\n", blanks()[1:])
 	})
--- a/internal/trial/flood/flood_test.go
+++ b/internal/trial/flood/flood_test.go
@@ -28,12 +28,23 @@
 // an ordinary request is answered afterwards.
 func mustSurvive(t *testing.T, s *site, addr string, p pattern) {
 	t.Helper()
-	c := startCrowd(t.Context(), s, addr, p, clients, 50*time.Millisecond)
+	mustSurviveAll(t, s, map[string]pattern{addr: p}, maxDescriptors)
+}
+
+// mustSurviveAll does the same with a crowd at each of several addresses at once.
+func mustSurviveAll(t *testing.T, s *site, patterns map[string]pattern, maxDescriptors int) {
+	t.Helper()
+	var crowds []*crowd
+	for addr, p := range patterns {
+		crowds = append(crowds, startCrowd(t.Context(), s, addr, p, clients, 50*time.Millisecond))
+	}
 	descriptors := 0
 	for end := time.Now().Add(crowdTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		descriptors = max(descriptors, s.descriptors())
 	}
-	c.end()
+	for _, c := range crowds {
+		c.end()
+	}
 	s.mustBeAlive(t)
 	peak := s.peakKB(t)
 	t.Logf("peak %d MB, %d descriptors", peak/1000, descriptors)
@@ -66,6 +77,16 @@
 	mustSurvive(t, s, s.callers, legalLines)
 }
 
+// TestOddLines guards against lines that are legal in size and no usual header lines.
+func TestOddLines(t *testing.T) {
+	for name, p := range map[string]pattern{"folded": foldedLines, "without a colon": linesWithoutColon, "repeated": repeatedFields} {
+		t.Run(name, func(t *testing.T) {
+			s := startEntry(t, lowLimits())
+			mustSurvive(t, s, s.callers, p)
+		})
+	}
+}
+
 // TestPartialBodies guards against bodies that are kept until a last byte arrives.
 func TestPartialBodies(t *testing.T) {
 	s := startEntry(t, lowLimits())
@@ -149,3 +170,32 @@
 	s := startServe(t, lowLimits())
 	mustSurvive(t, s, s.callers, nothing)
 }
+
+// TestCrowdsAtAllPorts guards against bounds that hold for each port by itself, but not for the sum of all ports.
+func TestCrowdsAtAllPorts(t *testing.T) {
+	for name, p := range map[string]pattern{"wholeBody": wholeBody, "shortLines": shortLines, "legalLines": legalLines} {
+		t.Run(name, func(t *testing.T) {
+			s := startEntry(t, lowLimits())
+			// Callers and hosts have as many connections, the other two ports 16 each.
+			mustSurviveAll(t, s, map[string]pattern{s.callers: p, s.peers: partialMessage, s.operators: shortLines, s.ready: shortLines}, maxDescriptors+clientConnections+32)
+		})
+	}
+}
+
+// TestSettingsWithoutLimits guards against hosts whose settings name neither memory nor descriptors, and which bounded nothing: the
+// limits of the process itself must hold.
+func TestSettingsWithoutLimits(t *testing.T) {
+	process := processLimits{memoryMb: memoryMb, descriptors: 4 * clientConnections}
+	for name, p := range map[string]pattern{"shortLines": shortLines, "completeLines": completeLines, "partialBody": partialBody, "wholeBody": wholeBody, "nothing": nothing} {
+		t.Run("entry, "+name, func(t *testing.T) {
+			s := startEntryWithin(t, map[string]any{}, process)
+			mustSurvive(t, s, s.callers, p)
+		})
+	}
+	for name, p := range map[string]pattern{"shortLines": shortLines, "wholeBody": wholeBody} {
+		t.Run("serve, "+name, func(t *testing.T) {
+			s := startServeWithin(t, map[string]any{}, process)
+			mustSurvive(t, s, s.callers, p)
+		})
+	}
+}
--- a/internal/trial/flood/process_test.go
+++ b/internal/trial/flood/process_test.go
@@ -43,8 +43,28 @@
 	ended chan struct{}
 }
 
+// processLimits are limits of a process that its environment sets; zero values set none.
+type processLimits struct {
+	// memoryMb is the memory that the Go runtime is told to stay within, in MB.
+	memoryMb int
+	// descriptors is the limit of open files.
+	descriptors int
+}
+
+// command returns a command that runs the program under the limits.
+func (l processLimits) command(args ...string) *exec.Cmd {
+	c := exec.Command(binary, args...)
+	if l.descriptors > 0 {
+		c = exec.Command("sh", append([]string{"-c", fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, l.descriptors), binary}, args...)...)
+	}
+	if l.memoryMb > 0 {
+		c.Env = append(os.Environ(), fmt.Sprintf("GOMEMLIMIT=%d", l.memoryMb*1_000_000))
+	}
+	return c
+}
+
 // startHost starts a command of the program with settings. The cleanup of the test kills it if it is still running.
-func startHost(t *testing.T, command string, settings map[string]any) *host {
+func startHost(t *testing.T, command string, settings map[string]any, limits processLimits) *host {
 	t.Helper()
 	addrs := freeAddrs(t, 4)
 	h := &host{callers: addrs[0], peers: addrs[1], operators: addrs[2], ready: addrs[3], ended: make(chan struct{})}
@@ -61,7 +81,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	h.cmd = exec.Command(binary, command, "--settings", file)
+	h.cmd = limits.command(command, "--settings", file)
 	h.cmd.Stdout, h.cmd.Stderr = &h.log, &h.log
 	if err := h.cmd.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/trial/flood/site_test.go
+++ b/internal/trial/flood/site_test.go
@@ -39,6 +39,12 @@
 
 // startEntry starts a host that forwards requests (yuccahinge entry), with a store and two searchers.
 func startEntry(t *testing.T, limits map[string]any) *site {
+	t.Helper()
+	return startEntryWithin(t, limits, processLimits{})
+}
+
+// startEntryWithin starts such a host as a process with limits of its own.
+func startEntryWithin(t *testing.T, limits map[string]any, process processLimits) *site {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var db store.Store
@@ -81,13 +87,19 @@
 	s.host = startHost(t, "entry", map[string]any{
 		"platform": []string{"http://" + l.Addr().String()}, "limits": limits,
 		"forward": map[string]any{"store": l.Addr().String(), "extraRatio": 0.2, "extraSlack": 20, "cores": 1},
-	})
+	}, process)
 	eventually(t, "an ordinary request is answered", s.answersOrdinary)
 	return s
 }
 
 // startServe starts a host of the product's own front door (yuccahinge serve), with a platform and a searcher.
 func startServe(t *testing.T, limits map[string]any) *site {
+	t.Helper()
+	return startServeWithin(t, limits, processLimits{})
+}
+
+// startServeWithin starts such a host as a process with limits of its own.
+func startServeWithin(t *testing.T, limits map[string]any, process processLimits) *site {
 	t.Helper()
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
@@ -119,7 +131,7 @@
 	}
 	limits["requestBytes"] = bodyBytes
 	s := &site{path: "/v1/search/read", ordinary: `{"query":{"text":"permit"}}`}
-	s.host = startHost(t, "serve", map[string]any{"platform": []string{"http://" + platform.Addr()}, "limits": limits})
+	s.host = startHost(t, "serve", map[string]any{"platform": []string{"http://" + platform.Addr()}, "limits": limits}, process)
 	eventually(t, "an ordinary request is answered", s.answersOrdinary)
 	return s
 }
