Show the bounds on clients as metrics

No metric told what the bounds on clients' connections and bytes are, nor that a host has none because its settings don't name the machine. No change of behaviour.

--- a/internal/host/caps/caps.go
+++ b/internal/host/caps/caps.go
@@ -136,6 +136,8 @@
 	}{
 		{"yuccahinge.clients.connections", "Connections of clients on all ports.", func() float64 { return float64(t.Len()) }},
 		{"yuccahinge.clients.bytes", "Bytes that are held for clients beyond what a connection takes.", func() float64 { return float64(t.Bytes()) }},
+		{"yuccahinge.clients.connections.max", "Most connections of callers; zero for no bound.", func() float64 { return float64(c.Callers.MaxConnections) }},
+		{"yuccahinge.clients.bytes.max", "Most bytes that are held for clients beyond what a connection takes; zero for no bound.", func() float64 { return float64(t.MaxBytes) }},
 		{"yuccahinge.clients.ended", "Connections of clients that were ended because of what they took.", func() float64 { return float64(c.ended()) }},
 	} {
 		if err := register(g.name, g.description, g.read); err != nil {
