Bound clients by the limits of the process where settings name none

A host whose settings name neither memory nor descriptors bounded nothing, so that clients outside the limits took all memory of its machine. That is the default, so it is what a user who starts the product gets.

Cause: all bounds on clients follow from limits.memoryMb and limits.descriptors, and without them there was no guard at all. What the settings leave out is now read at the start of the process: the least of the machine's memory, the limits of its control groups and GOMEMLIMIT, and the limit of open files. Hosts whose settings name both, as those of deploy/entry.json, are as before.

--- a/cmd/yuccahinge/entry.go
+++ b/cmd/yuccahinge/entry.go
@@ -7,6 +7,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/yuccahinge/yuccahinge/internal/host/avail"
 	"github.com/yuccahinge/yuccahinge/internal/host/caps"
 	"github.com/yuccahinge/yuccahinge/internal/host/proxy"
 	"github.com/yuccahinge/yuccahinge/internal/host/reload"
@@ -49,6 +50,7 @@
 	if s.Forward.StoreAddr == "" || s.Forward.ReadyAddr == "" {
 		return fail(exitUsage, errNoStore)
 	}
+	s.Limits.FillFrom(avail.Read())
 	caps.LimitHeap(&s.Limits)
 	srv := &proxy.Server{Settings: s, Version: version, Adapters: platform.Adapters(s.Forward.StoreAddr), Log: os.Stdout, Reload: reloader}
 	if err := srv.Listen(ctx); err != nil {
--- a/cmd/yuccahinge/serve.go
+++ b/cmd/yuccahinge/serve.go
@@ -9,6 +9,7 @@
 	"github.com/integrii/flaggy"
 	"k8s.io/klog/v2"
 
+	"github.com/yuccahinge/yuccahinge/internal/host/avail"
 	"github.com/yuccahinge/yuccahinge/internal/host/caps"
 	"github.com/yuccahinge/yuccahinge/internal/host/node"
 	"github.com/yuccahinge/yuccahinge/internal/host/reload"
@@ -44,6 +45,7 @@
 		return fail(exitUsage, err)
 	}
 	defer klog.Flush()
+	s.Limits.FillFrom(avail.Read())
 	caps.LimitHeap(&s.Limits)
 	n := &node.Node{Settings: s, Version: version, Reload: reloader}
 	if err := n.Listen(ctx); err != nil {
--- a/internal/host/config/limits.go
+++ b/internal/host/config/limits.go
@@ -1,6 +1,9 @@
 package config
 
-import "github.com/yuccahinge/yuccahinge"
+import (
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/internal/host/avail"
+)
 
 // Limits bounds the resources that a host uses and the requests that it accepts.
 type Limits struct {
@@ -13,7 +16,8 @@
 	PlatformCallsPerSecond float64           `json:"platformCallsPerSecond"`
 	Events                 int               `json:"events"`
 	PauseThresholdMs       yuccahinge.Millis `json:"pauseMs"`
-	// MemoryMb is the memory of the machine in units of 1,000,000 bytes, and Descriptors the limit of its open files; zero if unknown.
+	// MemoryMb is the memory of the machine in units of 1,000,000 bytes, and Descriptors the limit of its open files; zero if the
+	// settings don't name them.
 	MemoryMb    float64 `json:"memoryMb"`
 	Descriptors int     `json:"descriptors"`
 	// ClientBytes and ClientConnections are derived from MemoryMb and Descriptors if they are zero.
@@ -39,6 +43,16 @@
 	heapPart              = 3
 )
 
+// FillFrom takes the memory and the descriptors that the settings don't name from the limits of the process.
+func (l *Limits) FillFrom(process avail.Limits) {
+	if l.MemoryMb <= 0 {
+		l.MemoryMb = float64(process.MemoryBytes) / bytesPerMb
+	}
+	if l.Descriptors <= 0 {
+		l.Descriptors = process.Descriptors
+	}
+}
+
 // BoundsClients reports whether any bound on clients is set.
 func (l *Limits) BoundsClients() bool {
 	return l.MemoryMb > 0 || l.Descriptors > 0 || l.ClientBytes > 0 || l.ClientConnections > 0
--- a/internal/host/config/limits_test.go
+++ b/internal/host/config/limits_test.go
@@ -1,6 +1,10 @@
 package config
 
-import "testing"
+import (
+	"testing"
+
+	"github.com/yuccahinge/yuccahinge/internal/host/avail"
+)
 
 // TestBoundsFollowFromTheMachine guards against bounds that don't fit the smallest machines, and against bounds without settings for them.
 func TestBoundsFollowFromTheMachine(t *testing.T) {
@@ -26,3 +30,21 @@
 		}
 	}
 }
+
+// TestProcessLimitsFillWhatSettingsLeaveOut guards against hosts without any bound because their settings don't name the machine, and
+// against settings that the limits of the process override.
+func TestProcessLimitsFillWhatSettingsLeaveOut(t *testing.T) {
+	process := avail.Limits{MemoryBytes: 200_000_000, Descriptors: 1024}
+	for _, c := range []struct{ settings, want Limits }{
+		{Limits{}, Limits{MemoryMb: 200, Descriptors: 1024}},
+		{Limits{MemoryMb: 136}, Limits{MemoryMb: 136, Descriptors: 1024}},
+		{Limits{MemoryMb: 136, Descriptors: 2870}, Limits{MemoryMb: 136, Descriptors: 2870}},
+		{Limits{ClientConnections: 7, ClientBytes: 1 << 20}, Limits{MemoryMb: 200, Descriptors: 1024, ClientConnections: 7, ClientBytes: 1 << 20}},
+	} {
+		got := c.settings
+		got.FillFrom(process)
+		if got != c.want {
+			t.Errorf("%+v became %+v, want %+v", c.settings, got, c.want)
+		}
+	}
+}
