Bound the delay of reads after failed ones at hosts that aren't elected

A host that isn't elected read the store at most once in 3.75 s after an outage had lasted for some seconds. If no other host could tell it, it put a ticket in force later than the bound of the small deployments (3 s) after the outage.

--- a/internal/state/syncer/syncer_test.go
+++ b/internal/state/syncer/syncer_test.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// publish adds a ticket with one more holiday.
-func (f *testFleet) publish() {
+// publish adds a ticket with one more holiday and returns its number.
+func (f *testFleet) publish() yuccahinge.TicketNumber {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := yuccahinge.TicketNumber(len(f.tickets) + 1)
@@ -170,6 +170,7 @@
 	}
 	f.tickets = append(f.tickets, t)
 	f.state = next
+	return n
 }
 
 // add creates a Syncer in a failure domain; run starts it.
--- a/spread/read.go
+++ b/spread/read.go
@@ -34,8 +34,9 @@
 	substituteShare = 0.55
 	fallbackShare   = 0.7
 	jitterShare     = 0.05
-	// retryShare bounds the delay of an elected reader after a failed read.
-	retryShare = 0.2
+	// electedRetryShare bounds the delay of an elected reader after a failed read, and retryShare that of any other host.
+	electedRetryShare = 0.2
+	retryShare        = 0.4
 )
 
 // substitutesPerDomain is the number of hosts in each failure domain that read the platform before all others do, when no
@@ -161,10 +162,10 @@
 // WatchWait returns how long a read of the platform should wait for a change; zero if there is no bound.
 func (node *Node) WatchWait() yuccahinge.Millis { return watchShare * node.BoundMs }
 
-// MaxRetryDelay returns the longest delay of this host's next read after a failed one; zero if there is no bound for it.
+// MaxRetryDelay returns the longest delay of this host's next read after a failed one; zero if there is no bound.
 func (node *Node) MaxRetryDelay() yuccahinge.Millis {
-	if !node.IsElected() {
-		return 0
+	if node.IsElected() {
+		return electedRetryShare * node.BoundMs
 	}
 	return retryShare * node.BoundMs
 }
