Give the soak's hosts a bound on tickets with every eighth seed

The hosts of these runs derive the delays of their reads from a bound of 5 s and ask others for reads.

--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -124,7 +124,7 @@
 	}
 	seed := w.rand.Uint64()
 	h.roster = roster.Roster{Self: self, Seed: seed}
-	h.node = spread.Node{Self: h.id, Domain: h.domain, Seed: seed, IntervalMs: exchangeIntervalMs}
+	h.node = spread.Node{Self: h.id, Domain: h.domain, Seed: seed, IntervalMs: exchangeIntervalMs, BoundMs: w.ticketBound()}
 	h.startRates()
 	h.balancer = h.newBalancer()
 	h.claims = claim.Table{Owner: h.id, Incarnation: self.Incarnation, TTL: 10 * yuccahinge.Second, Retention: 20 * yuccahinge.Second}
@@ -137,6 +137,14 @@
 	h.start()
 }
 
+// ticketBound returns the bound of tickets that the hosts are told: none but with every eighth seed.
+func (w *World) ticketBound() yuccahinge.Millis {
+	if w.Seed%8 != 0 {
+		return 0
+	}
+	return 5 * yuccahinge.Second
+}
+
 func (h *host) newBalancer() *picker.Balancer {
 	b := &picker.Balancer{Domain: h.domain, Seed: h.roster.Seed, IsDraining: h.isDraining, HoldsVersion: h.versions.Holds}
 	if !h.w.hasBreak(IgnoreMaxRate) {
@@ -204,6 +212,9 @@
 		h.nextExchange = now + exchangeIntervalMs*yuccahinge.Millis(0.9+0.2*h.w.rand.Float64())
 		h.exchangeAll()
 	}
+	if id := h.node.HostToAsk(now); id != "" {
+		h.exchange(id)
+	}
 	if h.node.ShouldRead(now) {
 		h.readHead()
 	}
--- a/cmd/soak/world/tickets.go
+++ b/cmd/soak/world/tickets.go
@@ -249,7 +249,7 @@
 			return
 		}
 		old := h.node
-		h.node = spread.Node{Self: old.Self, Domain: old.Domain, Seed: old.Seed, IntervalMs: old.IntervalMs}
+		h.node = spread.Node{Self: old.Self, Domain: old.Domain, Seed: old.Seed, IntervalMs: old.IntervalMs, BoundMs: old.BoundMs}
 		h.node.SetMembers(h.w.now(), h.roster.Members())
 		h.perform(h.node.HandleState(h.w.now(), s))
 	})
