--- a/internal/trial/chaos/experiment.go
+++ b/internal/trial/chaos/experiment.go
@@ -75,7 +75,7 @@
 	// crashAttempts holds a *crashAttempt for each attempt id of a request that crashes searchers.
 	crashAttempts sync.Map
 
-	// published holds the configurations of a series that checks when they are in force.
+	// published holds the configurations that must be in force applyTime later.
 	publishedMu sync.Mutex
 	published   []publication
 
--- a/internal/trial/chaos/fault.go
+++ b/internal/trial/chaos/fault.go
@@ -49,13 +49,13 @@
 		func() { x.limitSearcher(ctx, s) },
 		func() { x.leaveInAnswers(ctx, s, span) },
 		func() { x.turnAway(ctx, s, span) },
-		func() { x.logf("configuration"); x.env.publishConfig() },
+		func() { x.logf("configuration"); x.publishAndRecord() },
 		func() { x.reloadSettings(h, x.rand.IntN(3)) },
 	}
 	if x.OnlyPlanned {
 		faults = []func(){
 			func() { x.onHost(h, "terminate", func() { x.terminate(ctx, h, span/4) }) },
-			func() { x.logf("configuration"); x.env.publishConfig() },
+			func() { x.logf("configuration"); x.publishAndRecord() },
 			func() { x.reloadSettings(h, x.rand.IntN(3)) },
 		}
 	}
--- a/internal/trial/chaos/host.go
+++ b/internal/trial/chaos/host.go
@@ -134,7 +134,7 @@
 		"drain": x.Shape.drain(),
 		"forward": map[string]any{
 			"readyAddr": ports[3], "store": h.platformLink.Addr(), "extraRatio": extraRatio, "extraSlack": x.Shape.slack(),
-			"extraWindowMs": extraWindow.Milliseconds(), "cores": x.Shape.cores(i), "evacuateMs": evacuateTime.Milliseconds(),
+			"extraWindowMs": extraWindow.Milliseconds(), "cores": x.Shape.cores(i), "evacuateMs": evacuateTime.Milliseconds(), "ticketMs": applyTime.Milliseconds(),
 		},
 	})
 	if err != nil {
