--- a/internal/state/syncer/bound_test.go
+++ b/internal/state/syncer/bound_test.go
@@ -26,10 +26,10 @@
 				f.publish()
 				var wait sync.WaitGroup
 				for i := range c.hosts {
-					h := f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)))
-					h.WatchWaitMs = 4 * yuccahinge.Second
-					h.BoundMs = c.bound
-					run(ctx, &wait, h)
+					run(ctx, &wait, f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)), func(h *Syncer) {
+						h.WatchWaitMs = 4 * yuccahinge.Second
+						h.BoundMs = c.bound
+					}))
 				}
 				for range 5 {
 					time.Sleep(10 * time.Second)
--- a/internal/state/syncer/evacuations_test.go
+++ b/internal/state/syncer/evacuations_test.go
@@ -26,14 +26,15 @@
 		var wait sync.WaitGroup
 		start := func() *Syncer {
 			i := len(f.syncers)
-			h := f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)))
-			h.Evacuations = new(evac.Tracker)
-			if i > 0 {
-				h.Seeds = []string{"127.0.0.1:7000"}
-			}
-			if prepare != nil {
-				prepare(f, h)
-			}
+			h := f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)), func(h *Syncer) {
+				h.Evacuations = new(evac.Tracker)
+				if i > 0 {
+					h.Seeds = []string{"127.0.0.1:7000"}
+				}
+				if prepare != nil {
+					prepare(f, h)
+				}
+			})
 			run(ctx, &wait, h)
 			return h
 		}
--- a/internal/state/syncer/join_test.go
+++ b/internal/state/syncer/join_test.go
@@ -32,9 +32,10 @@
 		var wait sync.WaitGroup
 		run(ctx, &wait, f.add(0, "d0"))
 		time.Sleep(3 * time.Second)
-		fresh := f.add(1, "d1")
-		fresh.Seeds = []string{"127.0.0.1:7000"}
-		fresh.Source = silentPlatform{f}
+		fresh := f.add(1, "d1", func(h *Syncer) {
+			h.Seeds = []string{"127.0.0.1:7000"}
+			h.Source = silentPlatform{f}
+		})
 		run(ctx, &wait, fresh)
 		time.Sleep(2*joinCallTimeout.Duration() + time.Second/2)
 		if ok, why := fresh.Ready(); !ok {
@@ -59,8 +60,7 @@
 		var wait sync.WaitGroup
 		var hosts []*Syncer
 		for i := range 4 {
-			h := f.add(i, "d0")
-			h.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"}
+			h := f.add(i, "d0", func(h *Syncer) { h.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"} })
 			hosts = append(hosts, h)
 			run(ctx, &wait, h)
 		}
@@ -99,15 +99,15 @@
 		f.publish()
 		var wait sync.WaitGroup
 		for i := range 5 {
-			h := f.add(i, "d0")
-			h.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"}
+			h := f.add(i, "d0", func(h *Syncer) { h.Seeds = []string{"127.0.0.1:7000", "127.0.0.1:7001"} })
 			run(ctx, &wait, h)
 		}
 		time.Sleep(5 * time.Second)
-		fresh := f.add(5, "d0")
-		fresh.Seeds = []string{"127.0.0.1:7000"}
 		calls := new(atomic.Int64)
-		fresh.Source = countingPlatform{f, calls}
+		fresh := f.add(5, "d0", func(h *Syncer) {
+			h.Seeds = []string{"127.0.0.1:7000"}
+			h.Source = countingPlatform{f, calls}
+		})
 		run(ctx, &wait, fresh)
 		time.Sleep(2 * time.Second)
 		if ok, why := fresh.Ready(); !ok {
--- a/internal/state/syncer/start_test.go
+++ b/internal/state/syncer/start_test.go
@@ -26,15 +26,15 @@
 	f.publish()
 	for _, i := range rand.New(rand.NewPCG(1, uint64(hosts))).Perm(hosts) {
 		time.Sleep(300 * time.Millisecond / time.Duration(hosts))
-		h := f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)))
-		h.Source = unlistedHosts{f}
-		h.Seed = uint64(i)
-		h.Self.Cores = 0.2
-		if i < 6 {
-			h.Self.Cores = 0.8
-		}
-		h.Seeds = []string{"127.0.0.1:7010", "127.0.0.1:7011", "127.0.0.1:7012"}
-		run(ctx, wait, h)
+		run(ctx, wait, f.add(i, yuccahinge.DomainID(fmt.Sprint("d", i%3)), func(h *Syncer) {
+			h.Source = unlistedHosts{f}
+			h.Seed = uint64(i)
+			h.Self.Cores = 0.2
+			if i < 6 {
+				h.Self.Cores = 0.8
+			}
+			h.Seeds = []string{"127.0.0.1:7010", "127.0.0.1:7011", "127.0.0.1:7012"}
+		}))
 	}
 	return f
 }
--- a/internal/state/syncer/syncer_test.go
+++ b/internal/state/syncer/syncer_test.go
@@ -173,14 +173,17 @@
 	return n
 }
 
-// add creates a Syncer in a failure domain; run starts it.
-func (f *testFleet) add(i int, domain yuccahinge.DomainID) *Syncer {
+// add creates a Syncer in a failure domain; run starts it. The functions in prepare change it before other hosts can call it.
+func (f *testFleet) add(i int, domain yuccahinge.DomainID, prepare ...func(h *Syncer)) *Syncer {
 	id := fmt.Sprintf("h%02d", i)
 	addr := fmt.Sprintf("127.0.0.1:%d", 7000+i)
 	h := &Syncer{
 		Self:   yuccahinge.Member{ID: id, Domain: domain, Incarnation: "l1", PeerAddr: addr, Role: yuccahinge.RoleEntry, Status: yuccahinge.StatusLive},
 		Source: f, Peers: peerCaller{f: f, from: addr}, Clock: testClock{}, Recorder: f, Seed: 7,
 	}
+	for _, p := range prepare {
+		p(h)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.handlers == nil {
@@ -258,8 +261,7 @@
 		if ok, why := isolated.Ready(); ok || why == "" {
 			t.Errorf("a host that reaches neither peers nor the platform has ready %v and reason %q", ok, why)
 		}
-		fresh := f.add(2, "d1")
-		fresh.Seeds = []string{"127.0.0.1:7000"}
+		fresh := f.add(2, "d1", func(h *Syncer) { h.Seeds = []string{"127.0.0.1:7000"} })
 		run(ctx, &wait, fresh)
 		time.Sleep(5 * time.Second)
 		if ok, why := fresh.Ready(); !ok {
