Send a large ticket to each host once

All hosts that put a ticket in force offer it to some others, and each of them sent the whole state to every host that lacked it, at the same time. With a configuration of 1,400 routes (hundreds of kilobytes) that is 2.3 copies a host, which fill the links of small hosts: calls between hosts time out, hosts take each other for dead, and tickets are late.

With a bound, a host now lets one other host send it a number at a time, for 0.2 of the bound at the most, and says in its summary what is pending. Hosts that ask for newer reads ask for the summary only, and fetch the state from one host.

--- a/cmd/soak/world/host.go
+++ b/cmd/soak/world/host.go
@@ -213,7 +213,7 @@
 		h.exchangeAll()
 	}
 	if id := h.node.HostToAsk(now); id != "" {
-		h.exchange(id)
+		h.sendExchange(id, h.node.NewQuestion(now))
 	}
 	if h.node.ShouldRead(now) {
 		h.readHead()
--- a/internal/state/syncer/exchange.go
+++ b/internal/state/syncer/exchange.go
@@ -108,15 +108,20 @@
 		return nil
 	}
 	request := s.newRequest(yuccahinge.HostID(peer.ID), update, summaryOnly)
+	return s.callExchange(ctx, peer, &request)
+}
+
+// callExchange sends a request to a peer and applies the reply.
+func (s *Syncer) callExchange(ctx context.Context, peer yuccahinge.Member, request *exchangeRequest) error {
 	var reply exchangeReply
 	callCtx, cancel := context.WithTimeout(ctx, orDefault(s.CallTimeoutMs, DefaultCallTimeout).Duration())
 	defer cancel()
-	err := s.Peers.Call(callCtx, peer.PeerAddr, MethodExchange, &request, &reply)
+	err := s.Peers.Call(callCtx, peer.PeerAddr, MethodExchange, request, &reply)
 	if err != nil && ctx.Err() != nil {
 		// The caller's context ended, which is no sign of a failed peer.
 		return err
 	}
-	s.handleReply(peer, &request, &reply, err)
+	s.handleReply(peer, request, &reply, err)
 	return err
 }
 
--- a/internal/state/syncer/platform.go
+++ b/internal/state/syncer/platform.go
@@ -97,13 +97,14 @@
 	return orDefault(s.node.MaxRetryDelay(), maxBackoff)
 }
 
-// askForRead exchanges with a host that may know of a newer read than this one, if the last read that this one knows of is old.
+// askForRead asks a host that may know of a newer read than this one, if the last read that this one knows of is old.
 func (s *Syncer) askForRead() {
 	now := s.Clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if peer, ok := s.roster.Find(s.node.HostToAsk(now)); ok {
-		s.startCall(func() { _ = s.exchange(s.ctx, peer, nil) })
+	if peer, ok := s.roster.Find(s.node.HostToAsk(now)); ok && peer.PeerAddr != "" {
+		request := &exchangeRequest{Gossip: s.newGossip(now, yuccahinge.HostID(peer.ID)), Ask: s.node.NewQuestion(now)}
+		s.startCall(func() { _ = s.callExchange(s.ctx, peer, request) })
 	}
 }
 
--- a/spread/bound_test.go
+++ b/spread/bound_test.go
@@ -127,3 +127,18 @@
 		}
 	})
 }
+
+// TestLargeTicketIsSentOnceToEachHost guards against a large ticket that all hosts which have it send to the same hosts at the same time:
+// the copies fill the links, so that hosts lose each other and the ticket is late.
+func TestLargeTicketIsSentOnceToEachHost(t *testing.T) {
+	eachFleet(t, 3, func(t *testing.T, s *sim) {
+		s.isLarge, s.transferMs, s.transfers = true, 300, 0
+		s.publish(false)
+		s.readNow()
+		s.run(s.bound)
+		s.mustReach(2, "a large ticket")
+		if most := len(s.hosts) * 3 / 2; s.transfers > most {
+			t.Errorf("%d transfers to %d hosts, at most %d wanted", s.transfers, len(s.hosts), most)
+		}
+	})
+}
--- a/spread/message.go
+++ b/spread/message.go
@@ -9,6 +9,8 @@
 	Digest yuccahinge.Digest       `json:"digest"`
 	// Conflict is the highest ticket number with two known digests; zero for none.
 	Conflict yuccahinge.TicketNumber `json:"conflict,omitempty"`
+	// Pending is the number that another host is sending to the sender; zero for none.
+	Pending yuccahinge.TicketNumber `json:"pending,omitempty"`
 	// Read is a recent successful read of the platform: the sender's own if it is recent, else the newest known.
 	Read Read `json:"read"`
 }
@@ -42,7 +44,10 @@
 	// SummaryOnly requests a reply without an Update.
 	SummaryOnly bool `json:"quiet,omitempty"`
 
-	createdAt yuccahinge.Millis // at the sender
+	// createdAt is the time at the sender. A question asks for the number of the other host, and what this one lacks is then fetched from
+	// one host at a time.
+	createdAt  yuccahinge.Millis
+	isQuestion bool
 }
 
 // Reply answers a Request. Its Update is set when the requesting host is behind.
--- a/spread/node.go
+++ b/spread/node.go
@@ -50,7 +50,12 @@
 	// conflictNumber is the highest number with two known digests, and reportedDigests the digests reported already.
 	conflictNumber  yuccahinge.TicketNumber
 	reportedDigests map[yuccahinge.Digest]bool
-	members         []yuccahinge.Member
+	// pending is the highest number that another host was let send to this one, until pendingUntil.
+	pending      yuccahinge.TicketNumber
+	pendingUntil yuccahinge.Millis
+	// fetchUntil is until when this host waits for a state that it has requested after a question.
+	fetchUntil yuccahinge.Millis
+	members    []yuccahinge.Member
 	// readerOrder holds the live hosts of the domain in the order in which they are elected to read the platform.
 	readerOrder []string
 	// peerNumbers is the highest number known to be in force on each other host.
@@ -89,13 +94,30 @@
 
 // Summary returns the description of this host's state that requests and replies carry.
 func (node *Node) Summary(now yuccahinge.Millis) Summary {
-	return Summary{
+	s := Summary{
 		Host:     node.Self,
 		Number:   node.Number(),
 		Digest:   node.digest(),
 		Conflict: node.conflictNumber,
 		Read:     node.reads.summaryRead(now),
 	}
+	if now < node.pendingUntil && node.pending > node.Number() {
+		s.Pending = node.pending
+	}
+	return s
+}
+
+// startTransfer reports whether another host may send this one what leads to a number, and records that it does. With a bound, one host
+// does so at a time: all that have the number would otherwise send the same state.
+func (node *Node) startTransfer(now yuccahinge.Millis, n yuccahinge.TicketNumber) bool {
+	if node.BoundMs <= 0 {
+		return true
+	}
+	if now < node.pendingUntil && node.pending >= n {
+		return false
+	}
+	node.pending, node.pendingUntil = n, now+pendingShare*node.BoundMs
+	return true
 }
 
 // NewRequest returns a request that opens an exchange. The caller may set Update.
@@ -103,6 +125,11 @@
 	return Request{Summary: node.Summary(now), createdAt: now}
 }
 
+// NewQuestion returns a request for the summary of another host. If that has a higher number, HandleReply decides to fetch the state.
+func (node *Node) NewQuestion(now yuccahinge.Millis) Request {
+	return Request{Summary: node.Summary(now), SummaryOnly: true, createdAt: now, isQuestion: true}
+}
+
 // HandleRequest handles another host's request and returns the reply to it.
 func (node *Node) HandleRequest(now yuccahinge.Millis, r Request) (Reply, []Decision) {
 	out := node.acceptUpdate(r.Summary.Host, r.Update)
@@ -113,6 +140,9 @@
 		return d.Kind == Exchange && d.Peer == r.Summary.Host && d.Number == 0
 	})
 	reply := Reply{Summary: node.Summary(now)}
+	if !r.SummaryOnly && r.Summary.Number > node.Number() && node.startTransfer(now, r.Summary.Number) {
+		reply.Summary.Pending = 0 // the requesting host sends what this one lacks
+	}
 	if !r.SummaryOnly {
 		reply.Update = node.updateFor(r.Summary)
 	}
@@ -124,6 +154,10 @@
 	out := node.acceptUpdate(r.Summary.Host, r.Update)
 	node.recordRead(cmp.Or(sent.createdAt, now), r.Summary.Read, true)
 	out = append(out, node.acceptSummary(r.Summary)...)
+	if n := r.Summary.Number; sent.isQuestion && n > node.Number() && now >= node.fetchUntil && node.Summary(now).Pending < n {
+		node.fetchUntil = now + pendingShare*node.BoundMs
+		return append(out, Decision{Kind: Exchange, Peer: r.Summary.Host})
+	}
 	if sent.SummaryOnly || isRefused(sent.Update, r.Summary) {
 		return out
 	}
--- a/spread/read.go
+++ b/spread/read.go
@@ -34,6 +34,8 @@
 	substituteShare = 0.55
 	fallbackShare   = 0.7
 	jitterShare     = 0.05
+	// pendingShare is how long a host declines what others send while one of them sends it a state.
+	pendingShare = 0.2
 	// electedRetryShare bounds the delay of an elected reader after a failed read, and retryShare that of any other host.
 	electedRetryShare = 0.2
 	retryShare        = 0.4
--- a/spread/ring.go
+++ b/spread/ring.go
@@ -28,7 +28,7 @@
 // updateFor returns the update that a host with this summary lacks, or nil. The update holds recent tickets if they
 // follow from that host's state and are smaller than the whole state, else the whole state.
 func (node *Node) updateFor(sum Summary) *Update {
-	if node.state == nil || sum.Number >= node.Number() {
+	if node.state == nil || max(sum.Number, sum.Pending) >= node.Number() {
 		return nil
 	}
 	if pushes, size := node.pushesAfter(sum.Number, sum.Digest); pushes != nil && size < node.stateSize() {
--- a/spread/sim_test.go
+++ b/spread/sim_test.go
@@ -102,6 +102,11 @@
 	noPlatform map[int]bool
 	// bound is Node.BoundMs of hosts that start.
 	bound yuccahinge.Millis
+	// isLarge makes tickets so large that they are sent to hosts that lack them only. Messages with them take transferMs longer, and
+	// transfers counts them.
+	isLarge    bool
+	transferMs yuccahinge.Millis
+	transfers  int
 	// reads counts the reads of hosts that aren't elected.
 	reads int
 	// digests holds every digest that applying published tickets can give.
@@ -157,10 +162,16 @@
 func (s *sim) newTicket(n int) *yuccahinge.Ticket {
 	day := time.Unix(0, 0).UTC().AddDate(0, 0, s.rand.IntN(1<<20)).Format(time.DateOnly)
 	name := yuccahinge.CalendarName(fmt.Sprint("c", s.rand.IntN(5)))
+	holidays := []string{day}
+	if s.isLarge {
+		for i := range maxInlineBytes / len(day) {
+			holidays = append(holidays, time.Unix(0, 0).UTC().AddDate(3000, 0, i).Format(time.DateOnly))
+		}
+	}
 	return &yuccahinge.Ticket{
 		Number: yuccahinge.TicketNumber(n),
 		// Tickets that set different keys keep the states of the two sides of a race different.
-		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{name: {Holidays: []string{day}}},
+		Calendars: map[yuccahinge.CalendarName]*yuccahinge.Calendar{name: {Holidays: holidays}},
 	}
 }
 
@@ -207,7 +218,9 @@
 	}
 	if s.now >= h.nextAsk {
 		h.nextAsk = s.now + askInterval
-		s.send(i, s.index(string(h.node.HostToAsk(s.now))), nil)
+		if to := s.index(string(h.node.HostToAsk(s.now))); to >= 0 {
+			s.post(message{from: i, to: to, request: h.node.NewQuestion(s.now)})
+		}
 	}
 	if s.now >= h.nextRead && h.node.ShouldRead(s.now) {
 		s.read(i, h)
@@ -278,6 +291,10 @@
 	}
 	for range copies {
 		m.at = s.now + yuccahinge.Millis(1+s.rand.IntN(s.maxDelay))
+		if m.reply == nil && m.request.Update != nil || m.reply != nil && m.reply.Update != nil {
+			s.transfers++
+			m.at += s.transferMs
+		}
 		s.inFlight = append(s.inFlight, m)
 	}
 }
