--- a/review/stage2/searcher.go
+++ b/review/stage2/searcher.go
@@ -32,6 +32,8 @@
 	Work time.Duration
 	// OnRun, if set, is called when the searcher begins to work on a request.
 	OnRun func(a *arrival)
+	// Take, if set, is called with each request first, and returns true if it has handled the request itself.
+	Take func(c *searcherConn, a *arrival) bool
 
 	addr     string
 	record   *record
@@ -171,6 +173,9 @@
 		select {
 		case a := <-requests:
 			sr.extras.arrived(c, a)
+			if sr.Take != nil && sr.Take(c, a) {
+				return
+			}
 			if sr.answer(c, a) != nil {
 				return
 			}
--- a/review/stage2/system.go
+++ b/review/stage2/system.go
@@ -27,6 +27,10 @@
 	headerMs     = 3_000
 	idleMs       = 15_000
 	callerHost   = "pupu76.example"
+	// serviceConns is the number of connections that a searcher accepts.
+	serviceConns = 44
+	// settle is the time before the first request, and that after the last one.
+	settle = 3 * time.Second
 )
 
 // bounds holds the bounds of the site kontspis-hladanie.
--- a/review/stage2/twice.go
+++ b/review/stage2/twice.go
@@ -21,13 +21,10 @@
 	reuseAfter   = 2 * time.Second
 	garbleFor    = 5 * time.Second
 	extraShare   = 0.04
-	// settle is the time before the first request, and that after the last one.
-	settle = 3 * time.Second
 	// perService is the number of searchers of each service at the start, and replaced how many of the service archive end at a time.
 	perService, replaced = 8, 2
 	// mostEnrolment is the number of searchers of the service enrolment above which the oldest leave.
 	mostEnrolment = 6
-	twiceConns    = 44
 	enrolBody     = "enrol"
 )
 
@@ -62,7 +59,7 @@
 	s.db.PutLimitedConfig(7, []store.Route{
 		{Name: "enrol", Host: callerHost, Prefix: "/enrol/", Service: "enrolment", AtMostOnce: true, TimeoutMs: 2000, ObjectiveMs: 400, Attempts: 2},
 		{Name: "fetch", Host: callerHost, Prefix: "/fetch/", Service: "archive", TimeoutMs: 2000, ObjectiveMs: 400, Attempts: 2},
-	}, []string{"enrolment", "archive"}, twiceConns, callerLimits())
+	}, []string{"enrolment", "archive"}, serviceConns, callerLimits())
 	s.addHosts("kosice", "presov", "kosice", "presov", "kosice", "presov")
 	if err := s.startAll(ctx); err != nil {
 		return err
