Log what a host knew when the list of searchers changed

searchersChanged, searchersKept and readerElected did not tell a host that learned of a departure late from one that learned in time and kept the searcher, and a host that asked the platform in vain from one that had not asked it. They now say how long ago the platform was last read for this host, by itself or by the reader whose list it has, and how many of its own reads failed since.

--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -111,6 +111,11 @@
 	lastUpdate yuccahinge.Millis
 	// lastFailure is when a read of the platform failed last.
 	lastFailure yuccahinge.Millis
+	// lastKnownRead is when the platform was last read for this host, by itself or by the reader whose list it has. It is that of the
+	// list before during an update.
+	lastKnownRead yuccahinge.Millis
+	// failures counts the failed reads since then.
+	failures int
 }
 
 // Run keeps the list up to date until the context ends.
@@ -154,12 +159,27 @@
 	w.listed = w.listed || b.Snapshot
 	w.markPlatformUp(b)
 	w.update(func(now yuccahinge.Millis) bool { return w.list.Merge(now, b) }, false)
+	w.recordKnownRead(w.Clock.Now() - b.AgeMs)
 	if w.Clock.Now()-b.AgeMs > w.lastFailure {
 		// The reader has read the platform since then, and answers outside of grace periods only.
 		w.list.EndOutage()
 	}
 }
 
+// recordKnownRead records when the platform was read for this host's list.
+func (w *Watcher) recordKnownRead(at yuccahinge.Millis) {
+	w.lastKnownRead = max(w.lastKnownRead, at)
+	w.failures = 0
+}
+
+// sinceKnownRead describes the time since the platform was last read for this host's list.
+func (w *Watcher) sinceKnownRead() string {
+	if w.lastKnownRead == 0 {
+		return "first read"
+	}
+	return fmt.Sprintf("%.0f ms after the last known read, %d failed since", w.Clock.Now()-w.lastKnownRead, w.failures)
+}
+
 // step makes one read and waits until the next is due.
 func (w *Watcher) step(ctx context.Context, read func(context.Context) yuccahinge.Millis) {
 	pause := read(ctx)
@@ -179,7 +199,7 @@
 		w.record(event.ReaderStoodDown, "searchers")
 		return
 	}
-	w.record(event.ReaderElected, "searchers")
+	w.record(event.ReaderElected, "searchers: "+w.sinceKnownRead())
 }
 
 // readPeers reads changes from a reader and returns the pause before the next read.
@@ -254,6 +274,7 @@
 		w.lastUpdate = w.Clock.Now()
 		w.problems.update(b, func(detail string) { w.record(event.SearcherEntryInvalid, detail) })
 		w.update(func(now yuccahinge.Millis) bool { return w.list.Apply(now, b) }, true)
+		w.recordKnownRead(w.Clock.Now())
 		return w.watchDelay()
 	case errors.Is(err, yuccahinge.ErrCompacted):
 		w.listed = false
@@ -306,7 +327,7 @@
 	if !changed && !first {
 		return
 	}
-	w.record(event.SearchersChanged, fmt.Sprintf("%d searchers at revision %d", w.list.Len(), position.Revision))
+	w.record(event.SearchersChanged, fmt.Sprintf("%d searchers at revision %d, %s", w.list.Len(), position.Revision, w.sinceKnownRead()))
 	w.OnChange(w.list.Services())
 }
 
@@ -314,7 +335,7 @@
 func (w *Watcher) reportKept() {
 	at, keeps := w.list.NextExpiry()
 	if keeps && !w.keeps {
-		w.record(event.SearchersKept, fmt.Sprintf("no entry, but the platform may have been away; the first is dropped in %.0f ms", at-w.Clock.Now()))
+		w.record(event.SearchersKept, fmt.Sprintf("no entry, but the platform may have been away: %s; the first is dropped in %.0f ms", w.sinceKnownRead(), at-w.Clock.Now()))
 	}
 	w.keeps = keeps
 }
@@ -323,6 +344,7 @@
 func (w *Watcher) markPlatformDown(err error) {
 	w.list.RecordOutage()
 	w.lastFailure = w.Clock.Now()
+	w.failures++
 	if !w.platformDown {
 		w.platformDown = true
 		w.record(event.PlatformDown, "searchers: "+err.Error())
