Read the list of searchers often enough for the drain time

Cause: what a host waits for one after the other had no relation to the drain time, and began with a list that was older than it seemed. A reader that no longer reads the platform gave out its list until that was 1.8 s old, then the other reader was silent, then both substitutes, and at last the host waited a quarter to three quarters of a second before it read the platform, which answered it at once. Ruled out: a platform that did not answer them, lists that grow again (no position goes back), requests that were chosen from an earlier list.

Change: package delays derives all of these times from the drain time and the interval of heartbeats, as shares of the age of the last read that a host knows of; readers send that age with their lists, and an answer that is no newer counts as none. A long poll ends with a new read of the platform as well as with a change. Substitutes that are asked read at once, where they waited for a change of a quiet platform. A host reads the platform itself when the age calls for it, once, and no longer for 5 s. A read on a dead connection is given up earlier.

Tests: TestDepartureIsInForceWhileReadersAreAway has the readers and their substitutes lost together, faults at the hosts that take a reader's place, and a platform on which heartbeats change nothing. Before the fix 6 of 166 cases failed: "cut off or refused by the platform, and the first that take their place" with 8 hosts, dropped after 3.4 to 5.0 s. Now at most 1.7 s in all cases with 8, 59 and 195 hosts. TestStepsFitIntoTheBound checks the sum for other drain times and heartbeats.

TestFollowerThatMissedAnOutageKeepsExpiredSearchers took a follower that waits 4 s for a silent reader for one that has missed an outage, on a platform that answered all the time. Such a host now reads the platform, sees that entries are removed, and is right to drop them. The test takes the platform away for these seconds, so that its entries lapse in an outage. It asks for the searchers until 2 s after the platform's return, by which lapsed entries are back, where it did so until 2.5 s after their removal: the host reads the platform earlier than before, and its grace period of 2.2 s counts from there.

TestAgeOfAListCountsAsAPause still fails, and its platform answers all the time as well; it stays as it is.

Calls in the model, 8 s, before and now: undisturbed 195 hosts 30 to 102 and 55 to 105 calls to the platform, 1,471 to 1,520 and 2,009 to 2,025 between hosts; readers and substitutes lost at 59 hosts 220 to 223 and 109 to 155 to the platform, 5,719 to 5,930 and 2,402 to 2,741 between hosts.

--- a/internal/host/config/forward.go
+++ b/internal/host/config/forward.go
@@ -16,6 +16,8 @@
 	LogLines       int               `json:"logLines"`
 	// SearcherDrainMs is how long a searcher serves after it has said that it leaves.
 	SearcherDrainMs yuccahinge.Millis `json:"searcherDrainMs"`
+	// HeartbeatMs is the interval at which a searcher writes its entry; zero if unknown.
+	HeartbeatMs yuccahinge.Millis `json:"heartbeatMs"`
 	// TicketMs is the time within which a ticket that the platform has confirmed must be in force on every host that reaches the platform;
 	// zero for no bound.
 	TicketMs yuccahinge.Millis `json:"ticketMs"`
--- a/internal/host/proxy/wire.go
+++ b/internal/host/proxy/wire.go
@@ -10,6 +10,7 @@
 	"github.com/yuccahinge/yuccahinge/internal/front/admin"
 	"github.com/yuccahinge/yuccahinge/internal/front/conn"
 	"github.com/yuccahinge/yuccahinge/internal/host/config"
+	"github.com/yuccahinge/yuccahinge/internal/state/delays"
 )
 
 const (
@@ -103,6 +104,7 @@
 	p.relay.Peers = &p.pool
 	p.relay.Membership = sy.Roster()
 	p.relay.Clock = srv.clock
+	p.relay.Bound = listBound(&srv.Settings.Forward)
 	p.relay.Register(p.peers.Handle)
 
 	w := &p.watcher
@@ -113,6 +115,7 @@
 	w.Recorder = &srv.events
 	w.Clock = srv.clock
 	w.PauseMs = srv.Settings.Forward.ListPollMs
+	w.Bound = listBound(&srv.Settings.Forward)
 	w.Seed = srv.seed()
 }
 
@@ -125,6 +128,11 @@
 	return max(s.TicketMs, s.EvacuateMs)
 }
 
+// listBound returns the bound on the delays of reads of the list of searchers.
+func listBound(s *config.Forward) delays.Bound {
+	return delays.Bound{DrainMs: s.SearcherDrainMs, HeartbeatMs: s.HeartbeatMs}
+}
+
 // ticketWatchMs is the long-poll timeout of a watch for tickets. A call without a response is abandoned soon after it, so
 // it also bounds how long a dead connection stays undetected.
 const ticketWatchMs = 4 * yuccahinge.Second
--- a/internal/state/relay/relay.go
+++ b/internal/state/relay/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/census"
+	"github.com/yuccahinge/yuccahinge/internal/state/delays"
 	"github.com/yuccahinge/yuccahinge/rendez"
 )
 
@@ -48,6 +49,8 @@
 	Peers      yuccahinge.PeerCaller
 	Membership yuccahinge.Membership
 	Clock      yuccahinge.Clock
+	// Bound sets the delays of WatchNewer.
+	Bound delays.Bound
 
 	mu            sync.Mutex
 	changesSince  func(yuccahinge.Position) *yuccahinge.ChangeBatch
@@ -59,7 +62,7 @@
 	lastReader    yuccahinge.HostID   // the reader that answered last; empty for none
 	readerAnswers int                 // answers since lastReader was last reset
 
-	fresh           chan struct{}                           // closed when the list becomes fresh
+	fresh           chan struct{}                           // closed when the platform has been read and the list is fresh
 	passedOverUntil map[yuccahinge.HostID]yuccahinge.Millis // hosts that are not called at present, and until when
 	endWatch        context.CancelCauseFunc                 // ends the watch in progress; nil if there is none
 	readAskedUntil  yuccahinge.Millis                       // until when a new watch ends at once, so that this host reads the platform
@@ -76,6 +79,10 @@
 	Any bool `json:"any,omitempty"`
 	// Substitute asks a host that is no reader to become one for a while, since the caller reaches none.
 	Substitute bool `json:"substitute,omitempty"`
+	// Refresh asks for the result of a read of the platform even if that has found no change, if it was made no earlier than
+	// RefreshInMs after the request arrives. RefreshInMs may be negative.
+	Refresh     bool              `json:"refresh,omitempty"`
+	RefreshInMs yuccahinge.Millis `json:"refreshInMs,omitempty"`
 }
 
 func (r *request) position() yuccahinge.Position {
@@ -165,11 +172,13 @@
 func (r *Relay) answer(ctx context.Context, req *request) (any, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	refreshFrom := r.Clock.Now() + req.RefreshInMs
+	isOverdue := req.Refresh && req.RefreshInMs <= 0 && !r.hasNews(req, refreshFrom)
 	switch {
-	case !r.canAnswer(req) && req.Substitute:
-		r.awaitRead(ctx, req)
+	case req.Substitute && (isOverdue || !r.canAnswer(req)):
+		r.awaitRead(ctx, req, refreshFrom)
 	case req.WaitMs > 0 && r.canAnswer(req):
-		r.awaitChange(ctx, req)
+		r.awaitNews(ctx, req, refreshFrom)
 	}
 	if !r.canAnswer(req) {
 		return nil, &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepPlatform, Message: "this host can't read the platform"}
@@ -195,10 +204,16 @@
 	}
 }
 
-// awaitChange returns when something has changed after the requested position, when the list is no longer fresh or this host has not
-// read the platform for maxReadAgeMs, or when the requested wait ends. The caller holds the lock, which is released during the wait.
-func (r *Relay) awaitChange(ctx context.Context, req *request) {
-	if req.position().Before(r.lastChange) || req.Epoch < r.epoch {
+// hasNews reports whether this host's list has changed since the requested position, or was read at or after refreshFrom if the
+// request asks for that.
+func (r *Relay) hasNews(req *request, refreshFrom yuccahinge.Millis) bool {
+	return req.position().Before(r.lastChange) || req.Epoch < r.epoch || req.Refresh && r.lastRead > 0 && r.lastRead >= refreshFrom
+}
+
+// awaitNews returns when this host has news for the request, when the list is no longer fresh or this host has not read the platform
+// for maxReadAgeMs, or when the requested wait ends. The caller holds the lock, which is released during the wait.
+func (r *Relay) awaitNews(ctx context.Context, req *request, refreshFrom yuccahinge.Millis) {
+	if r.hasNews(req, refreshFrom) {
 		return
 	}
 	if r.changed == nil {
@@ -207,12 +222,14 @@
 	changed := r.changed
 	ctx, cancel := context.WithTimeout(ctx, req.WaitMs.Duration())
 	defer cancel()
-	for r.canAnswer(req) && ctx.Err() == nil {
+	for r.canAnswer(req) && !r.hasNews(req, refreshFrom) && ctx.Err() == nil {
+		fresh := r.nextFresh()
 		outdated := time.NewTimer((r.lastRead + maxReadAgeMs - r.Clock.Now() + 1).Duration())
 		r.mu.Unlock()
 		select {
 		case <-changed:
 			cancel()
+		case <-fresh:
 		case <-outdated.C:
 		case <-ctx.Done():
 		}
@@ -221,6 +238,14 @@
 	}
 }
 
+// nextFresh returns a channel that is closed when the platform has been read next. The caller holds the lock.
+func (r *Relay) nextFresh() <-chan struct{} {
+	if r.fresh == nil {
+		r.fresh = make(chan struct{})
+	}
+	return r.fresh
+}
+
 // isRefusal reports whether a host that should read the platform replied that it cannot.
 func isRefusal(err error) bool {
 	var e *yuccahinge.Error
--- a/internal/state/relay/watch.go
+++ b/internal/state/relay/watch.go
@@ -29,6 +29,8 @@
 	// errIsSubstitute and errReadAsked tell the Watcher to read the platform.
 	errIsSubstitute = errors.New("no reader answers with a list, and this host is next in order")
 	errReadAsked    = errors.New("another host gets no list from a reader and asked this one to read the platform")
+	// errNotNewer reports that a host has read the platform no later than it was read for this host's list.
+	errNotNewer = errors.Mark(errors.New("the list of the reader is not newer"), yuccahinge.ErrPlatformUnavailable)
 )
 
 // answer is a host's answer to a request.
@@ -43,29 +45,80 @@
 	return r.Watch(ctx, yuccahinge.Position{}, 0)
 }
 
+// search says how to look for a host that has a list.
+type search struct {
+	// request returns the request to send now, with the given wait. The first one to a reader may ask for a newer list than others do.
+	request func(wait yuccahinge.Millis, isFirst bool) request
+	// waitMs is the wait of the first request, othersMs the time after which all other hosts are called, and othersWaitMs the wait of
+	// these requests. All calls are given up after limitMs.
+	waitMs, othersMs, othersWaitMs, limitMs yuccahinge.Millis
+	// asksSubstitutes reports whether substitutes are asked if no reader has a list, and awaitsSubstitutes whether that waits for their
+	// reads of the platform although the readers refuse.
+	asksSubstitutes, awaitsSubstitutes bool
+	// accepts reports whether a list is one that is looked for; nil accepts any.
+	accepts func(*yuccahinge.ChangeBatch) bool
+}
+
 // Watch implements yuccahinge.ListWatcher. It calls the reader that answered last, and all others if that one fails or is late. If
 // none has a list it asks substitutes, the hosts that are next in order, to read the platform in place of all hosts. An error that
 // is not marked with ErrPlatformUnavailable means that this host has to read the platform itself.
 func (r *Relay) Watch(ctx context.Context, after yuccahinge.Position, wait yuccahinge.Millis) (*yuccahinge.ChangeBatch, error) {
+	return r.find(ctx, &search{
+		request: func(wait yuccahinge.Millis, _ bool) request {
+			return request{After: after.Revision, Epoch: after.Epoch, WaitMs: wait}
+		},
+		waitMs: wait, othersMs: wait + lateMs, limitMs: wait + callTimeoutMs,
+		asksSubstitutes: wait > 0,
+	})
+}
+
+// WatchNewer returns the changes after a position from a host that has read the platform since known, which is when it was last read
+// for this host's list. It calls the same hosts as Watch does, each early enough for this host to read the platform in time if none
+// has a newer list: then the error is marked with ErrPlatformUnavailable if a host could be reached.
+func (r *Relay) WatchNewer(ctx context.Context, after yuccahinge.Position, known yuccahinge.Millis) (*yuccahinge.ChangeBatch, error) {
+	b := r.Bound
+	now := r.Clock.Now()
+	othersMs := max(0, known+b.AskOthersAfter()-now)
+	return r.find(ctx, &search{
+		request: func(wait yuccahinge.Millis, isFirst bool) request {
+			gain := b.MinGain()
+			if isFirst {
+				gain = b.RefreshAfter()
+			}
+			return request{
+				After: after.Revision, Epoch: after.Epoch, WaitMs: wait,
+				Refresh: true, RefreshInMs: known + gain - r.Clock.Now(),
+			}
+		},
+		waitMs: max(0, known+b.ReadAfter(0)-now), othersMs: othersMs, limitMs: max(known+b.AskSubstitutesAfter()-now, othersMs+b.MinCall()),
+		asksSubstitutes: true, awaitsSubstitutes: true,
+		accepts: func(got *yuccahinge.ChangeBatch) bool {
+			return len(got.Changes) > 0 || got.Epoch != after.Epoch || r.Clock.Now()-got.AgeMs >= known+b.MinGain()
+		},
+	})
+}
+
+// find calls the readers, and then their substitutes, for a list.
+func (r *Relay) find(ctx context.Context, s *search) (*yuccahinge.ChangeBatch, error) {
 	ctx, end, err := r.beginWatch(ctx)
 	if err != nil {
 		return nil, err
 	}
 	defer end()
 	hosts, substitutes := r.targets()
-	first := request{After: after.Revision, Epoch: after.Epoch, WaitMs: wait, Substitute: substitutes}
-	others := first
-	others.WaitMs = 0
-	b, err := r.callInOrder(ctx, hosts, first, others, lateMs)
-	if err != nil && wait > 0 && !substitutes && ctx.Err() == nil {
-		b, err = r.callSubstitutes(ctx, hosts, others, err)
+	if substitutes && s.awaitsSubstitutes {
+		s.othersWaitMs = substituteWaitMs
+	}
+	b, err := r.callInOrder(ctx, hosts, s, substitutes)
+	if err != nil && s.asksSubstitutes && !substitutes && ctx.Err() == nil {
+		b, err = r.callSubstitutes(ctx, hosts, s, err)
 	}
 	return b, causeOf(ctx, err)
 }
 
 // callSubstitutes asks substitutes after the readers failed with an error. If these can't read the platform, it doesn't wait until
 // the substitutes have: that may fail as well, and the readers answer as soon as the platform does.
-func (r *Relay) callSubstitutes(ctx context.Context, readers []yuccahinge.Member, req request, cause error) (*yuccahinge.ChangeBatch, error) {
+func (r *Relay) callSubstitutes(ctx context.Context, readers []yuccahinge.Member, s *search, cause error) (*yuccahinge.ChangeBatch, error) {
 	refused := errors.Is(cause, yuccahinge.ErrPlatformUnavailable)
 	passedOver := r.passedOverHosts()
 	for _, m := range readers {
@@ -75,13 +128,11 @@
 	if slices.Contains(ids, r.Self) {
 		return nil, errIsSubstitute
 	}
-	req.Substitute = true
-	if !refused {
-		req.WaitMs = substituteWaitMs
+	next := search{request: s.request, accepts: s.accepts, limitMs: substituteCallMs}
+	if !refused || s.awaitsSubstitutes {
+		next.waitMs, next.othersWaitMs = substituteWaitMs, substituteWaitMs
 	}
-	ctx, cancel := context.WithTimeout(ctx, substituteCallMs.Duration())
-	defer cancel()
-	b, err := r.callInOrder(ctx, r.inOrder(ids), req, req, 0)
+	b, err := r.callInOrder(ctx, r.inOrder(ids), &next, true)
 	switch {
 	case err == nil && refused:
 		r.passOver(refusedMs, readers...)
@@ -120,7 +171,7 @@
 
 // awaitRead makes this host read the platform, and returns when it has or when the requested wait ends. The caller holds the lock,
 // which is released during the wait.
-func (r *Relay) awaitRead(ctx context.Context, req *request) {
+func (r *Relay) awaitRead(ctx context.Context, req *request, refreshFrom yuccahinge.Millis) {
 	if r.endWatch != nil {
 		r.endWatch(errReadAsked)
 	} else {
@@ -128,11 +179,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, min(req.WaitMs, substituteWaitMs).Duration())
 	defer cancel()
-	for !r.canAnswer(req) && ctx.Err() == nil {
-		if r.fresh == nil {
-			r.fresh = make(chan struct{})
-		}
-		fresh := r.fresh
+	for ctx.Err() == nil && (!r.canAnswer(req) || req.Refresh && !r.hasNews(req, refreshFrom)) {
+		fresh := r.nextFresh()
 		r.mu.Unlock()
 		select {
 		case <-fresh:
@@ -142,26 +190,28 @@
 	}
 }
 
-// callInOrder calls the first of some hosts, and all others at once if that one fails or is late, which it is late after the end of
-// its wait. It returns the first answer.
-func (r *Relay) callInOrder(ctx context.Context, hosts []yuccahinge.Member, first, others request, late yuccahinge.Millis) (*yuccahinge.ChangeBatch, error) {
+// callInOrder calls the first of some hosts, and all others at once if that one fails or is late. It returns the first answer that is
+// accepted.
+func (r *Relay) callInOrder(ctx context.Context, hosts []yuccahinge.Member, s *search, substitutes bool) (*yuccahinge.ChangeBatch, error) {
 	if len(hosts) == 0 {
 		return nil, errNoReader
 	}
-	ctx, cancel := context.WithTimeout(ctx, (first.WaitMs + callTimeoutMs).Duration())
+	ctx, cancel := context.WithTimeout(ctx, s.limitMs.Duration())
 	defer cancel()
 	answers := make(chan answer, len(hosts))
-	call := func(m yuccahinge.Member, req request) {
+	call := func(m yuccahinge.Member, wait yuccahinge.Millis, isFirst bool) {
+		req := s.request(wait, isFirst)
+		req.Substitute = substitutes
 		b, err := r.call(ctx, m.PeerAddr, &req)
+		if err == nil && s.accepts != nil && !s.accepts(b) {
+			b, err = nil, errNotNewer
+		}
 		answers <- answer{yuccahinge.HostID(m.ID), b, err}
 	}
-	go call(hosts[0], first)
+	go call(hosts[0], s.waitMs, s.othersMs > 0)
 	called := 1
-	timer := time.NewTimer((first.WaitMs + late).Duration())
+	timer := time.NewTimer(s.othersMs.Duration())
 	defer timer.Stop()
-	if late == 0 {
-		timer.Reset(0)
-	}
 	err := errNoReader
 	for ended := 0; ended < called; {
 		select {
@@ -171,11 +221,11 @@
 				r.recordAnswer(a.host, true)
 				return a.batch, nil
 			}
-			err = r.recordFailure(ctx, a, first.WaitMs > 0, err)
+			err = r.recordFailure(ctx, a, s.waitMs > 0, err)
 		case <-timer.C:
 		}
 		for ; called < len(hosts); called++ {
-			go call(hosts[called], others)
+			go call(hosts[called], s.othersWaitMs, false)
 		}
 	}
 	return nil, err
@@ -188,8 +238,11 @@
 		return a.err // the watch has ended
 	}
 	r.recordAnswer(a.host, false)
-	if isRefusal(a.err) {
+	switch {
+	case isRefusal(a.err):
 		return errors.Mark(a.err, yuccahinge.ErrPlatformUnavailable)
+	case errors.Is(a.err, errNotNewer):
+		return a.err
 	}
 	if isLongPoll {
 		r.passOver(silentMs, yuccahinge.Member{ID: string(a.host)})
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -12,6 +12,7 @@
 	"github.com/yuccahinge/yuccahinge"
 	"github.com/yuccahinge/yuccahinge/census"
 	"github.com/yuccahinge/yuccahinge/event"
+	"github.com/yuccahinge/yuccahinge/internal/state/delays"
 )
 
 const (
@@ -24,9 +25,6 @@
 	watchWaitMs = 1 * yuccahinge.Second
 	// minWaitMs is the shortest wait of a watch.
 	minWaitMs yuccahinge.Millis = 20
-	// peerWaitMs is how long a reader, a host that reads the platform directly, may wait for a change before it replies
-	// to this host's long poll. It bounds the delay that a hung reader causes.
-	peerWaitMs = 1 * yuccahinge.Second
 	// peerCallDelayMs is the time between two calls to a reader, which replies at once when something has changed.
 	peerCallDelayMs yuccahinge.Millis = 100
 	// directMs is how long a host reads the platform directly after a call to its readers failed.
@@ -40,6 +38,8 @@
 	// refusalSpreadMs spreads the first reads of the platform over time by hosts whose readers begin to refuse. Those that the hosts
 	// have asked to read in place of the readers have a list before.
 	refusalSpreadMs yuccahinge.Millis = 500
+	// slowReadFactor is how many times longer than the last read one takes at least that is given up.
+	slowReadFactor = 4
 	// firstListMs bounds the wait for a reader's list at the start. A whole list takes a few milliseconds.
 	firstListMs yuccahinge.Millis = 100
 	// entryExpiryMs is the time without an update after which the platform may have been down long enough for entries
@@ -51,12 +51,19 @@
 	maxBackoff   yuccahinge.Millis = 500
 )
 
+// errNoNewerList reports that this host has to read the platform because no reader sent a newer list in time.
+var errNoNewerList = errors.New("no reader sent a newer list in time")
+
 // errOldEpoch reports that a reader's list is from before the platform came back from a copy.
 var errOldEpoch = errors.New("the reader's list is from before the platform came back from a copy")
 
 // Peers gives access to the lists of searchers that other hosts have.
 type Peers interface {
 	yuccahinge.ListWatcher
+	// WatchNewer returns the changes after a position from a reader that has read the platform since known. It waits for such a read
+	// until the context ends or no reader can make one in time. An error that is not marked with ErrPlatformUnavailable means that no
+	// reader could be asked.
+	WatchNewer(ctx context.Context, after yuccahinge.Position, known yuccahinge.Millis) (*yuccahinge.ChangeBatch, error)
 	// IsReader reports whether this host is a reader: one that reads the platform directly.
 	IsReader() bool
 	// AnyPeer returns the changes after a position that some other hosts know, even if they cannot read the platform.
@@ -82,6 +89,8 @@
 	Clock      yuccahinge.Clock
 	// PauseMs is the wait between two watches of the platform; zero takes a default.
 	PauseMs yuccahinge.Millis
+	// Bound bounds the delays of reads.
+	Bound delays.Bound
 	// Seed seeds the jitter.
 	Seed uint64
 	// WatchWarmups calls OnChange when a searcher becomes cold, too.
@@ -90,7 +99,11 @@
 	list     census.SearcherList
 	problems problems
 	rand     *rand.Rand
-	backoff  yuccahinge.Millis
+	// spread is this host's share of the time over which hosts spread their reads.
+	spread  float64
+	backoff yuccahinge.Millis
+	// readMs is how long the last read took beyond its wait.
+	readMs yuccahinge.Millis
 	// listed reports whether the whole list was read, so that reading changes suffices.
 	listed       bool
 	platformDown bool
@@ -121,6 +134,7 @@
 // Run keeps the list up to date until the context ends.
 func (w *Watcher) Run(ctx context.Context) error {
 	w.rand = rand.New(rand.NewPCG(w.Seed, 0))
+	w.spread = w.rand.Float64()
 	w.backoff = firstBackoff
 	w.list.WatchWarmups = w.WatchWarmups
 	w.readFirstList(ctx)
@@ -204,11 +218,14 @@
 
 // readPeers reads changes from a reader and returns the pause before the next read.
 func (w *Watcher) readPeers(ctx context.Context) yuccahinge.Millis {
+	if late := w.Clock.Now() - w.directReadDeadline(); w.failures == 0 && late >= 0 && late < w.Bound.MinCall() {
+		return w.readOnce(ctx, errNoNewerList) // a host that is later than that was paused, and readers know more than it does
+	}
 	after := w.list.Position()
 	if !w.listed {
 		after.Revision = 0
 	}
-	b, err := w.Peers.Watch(ctx, after, w.watchWait(peerWaitMs))
+	b, err := w.watchPeers(ctx, after)
 	if err == nil && b.Epoch < after.Epoch {
 		err = errOldEpoch
 	}
@@ -224,15 +241,44 @@
 		return w.readWithoutReaders(ctx, err)
 	}
 	now := w.Clock.Now()
-	if !w.isDirectReadDue(now) {
-		w.readAnyPeer(ctx)
-		return min(peerRetryMs, w.nextDirectRead-now)
+	switch {
+	case !w.isDirectReadDue(now):
+		w.readAnyPeerInTime(ctx)
+		return w.untilDirectRead(peerRetryMs)
+	case errors.Is(err, context.DeadlineExceeded):
+		return w.readOnce(ctx, errNoNewerList)
 	}
 	w.directUntil = now + directMs
 	w.record(event.SpreadPullFailed, "searchers: "+err.Error())
 	return 0
 }
 
+// watchPeers waits for a newer list of a reader until this host has to read the platform itself.
+func (w *Watcher) watchPeers(ctx context.Context, after yuccahinge.Position) (*yuccahinge.ChangeBatch, error) {
+	ctx, cancel := w.withDirectRead(ctx)
+	defer cancel()
+	return w.Peers.WatchNewer(ctx, after, w.lastKnownRead)
+}
+
+// withDirectRead returns a context that ends when this host has to read the platform itself or when the grace period of a removed entry
+// ends, but leaves time for a call.
+func (w *Watcher) withDirectRead(ctx context.Context) (context.Context, context.CancelFunc) {
+	end := w.directReadDeadline()
+	if at, keeps := w.list.NextExpiry(); keeps {
+		end = min(end, at)
+	}
+	return context.WithTimeout(ctx, max(end-w.Clock.Now(), w.Bound.MinCall()).Duration())
+}
+
+// directReadDeadline returns when a host that is no reader has to read the platform itself, if it gets no newer list until then: before
+// its list is too old for it to know of departures in time, or if it has tried in vain since that list, some time after it did.
+func (w *Watcher) directReadDeadline() yuccahinge.Millis {
+	if w.failures > 0 {
+		return w.nextDirectRead
+	}
+	return w.lastKnownRead + w.Bound.ReadAfter(w.spread)
+}
+
 // readWithoutReaders updates the list while the readers cannot read the platform. This host keeps calling them
 // because they answer again as soon as the platform does. Until then any host may have a newer list, and an
 // occasional short read of the platform shows whether only the readers have lost it.
@@ -243,20 +289,37 @@
 		w.nextDirectRead = max(w.nextDirectRead, now+peerRetryMs+refusalSpreadMs*yuccahinge.Millis(w.rand.Float64()))
 	}
 	if w.isDirectReadDue(now) {
-		w.nextDirectRead = now + w.jitter(followerReadMs)
-		w.record(event.SpreadPullFailed, "searchers: "+cause.Error())
-		w.readPlatform(ctx)
-	} else {
-		w.readAnyPeer(ctx)
+		return w.readOnce(ctx, cause)
 	}
-	return peerRetryMs
+	w.readAnyPeerInTime(ctx)
+	return w.untilDirectRead(peerRetryMs)
 }
 
-// isDirectReadDue reports whether a host that is no reader may read the platform itself: if it has not done so for a while, or if the
-// grace period of a removed entry ends, which may be listed again by now.
+// readOnce reads the platform in place of a reader and returns the pause before the next call to the readers.
+func (w *Watcher) readOnce(ctx context.Context, cause error) yuccahinge.Millis {
+	w.nextDirectRead = w.Clock.Now() + w.jitter(followerReadMs)
+	w.record(event.SpreadPullFailed, "searchers: "+cause.Error())
+	w.readPlatform(ctx)
+	return w.untilDirectRead(peerRetryMs)
+}
+
+// readAnyPeerInTime merges the newest list of some other hosts that answer before this host has to read the platform itself.
+func (w *Watcher) readAnyPeerInTime(ctx context.Context) {
+	ctx, cancel := w.withDirectRead(ctx)
+	defer cancel()
+	w.readAnyPeer(ctx)
+}
+
+// isDirectReadDue reports whether a host that is no reader may read the platform itself: if it has not done so for a while, if the
+// grace period of a removed entry ends, which may be listed again by now, or if it has to.
 func (w *Watcher) isDirectReadDue(now yuccahinge.Millis) bool {
 	at, keeps := w.list.NextExpiry()
-	return now >= w.nextDirectRead || keeps && now >= at
+	return now >= w.nextDirectRead || keeps && now >= at || now >= w.directReadDeadline()
+}
+
+// untilDirectRead returns a pause, or less if this host has to read the platform before its end.
+func (w *Watcher) untilDirectRead(pause yuccahinge.Millis) yuccahinge.Millis {
+	return min(pause, max(0, w.directReadDeadline()-w.Clock.Now()))
 }
 
 // readPlatform reads the whole list, or only the changes once a whole list is known, and returns the wait before the
@@ -281,6 +344,9 @@
 		return 0
 	}
 	w.markPlatformDown(err)
+	if w.listed && w.failures == 1 && w.Peers.IsReader() {
+		return min(w.backoff, w.Bound.MinCall()) // the next read takes another connection
+	}
 	w.readAnyPeer(ctx)
 	if w.hasList && !w.Peers.IsReader() {
 		w.directUntil = 0
@@ -296,10 +362,24 @@
 	if !w.listed {
 		return w.ListWatcher.List(ctx)
 	}
-	if w.followsReaders {
-		return w.ListWatcher.Watch(ctx, w.list.Position(), minWaitMs)
+	wait := minWaitMs
+	if !w.followsReaders {
+		// Other hosts wait for the result if the last known read is old.
+		left := w.lastKnownRead + w.Bound.WatchPause() + w.Bound.WatchWait() - w.Clock.Now()
+		wait = w.watchWait(max(minWaitMs, min(watchWaitMs, w.Bound.WatchWait(), left)))
+	}
+	if w.failures == 0 {
+		// A read that takes much longer than the last one may be on a dead connection.
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, (wait + max(w.Bound.ReadTimeout(), slowReadFactor*w.readMs)).Duration())
+		defer cancel()
+	}
+	start := w.Clock.Now()
+	b, err := w.ListWatcher.Watch(ctx, w.list.Position(), wait)
+	if err == nil {
+		w.readMs = max(0, w.Clock.Now()-start-wait)
 	}
-	return w.ListWatcher.Watch(ctx, w.list.Position(), w.watchWait(watchWaitMs))
+	return b, err
 }
 
 // watchWait returns how long a read may wait for a change: at most limit, and no longer than until the grace period
@@ -386,10 +466,11 @@
 }
 
 func (w *Watcher) watchDelay() yuccahinge.Millis {
+	pause := defaultWatchDelay
 	if w.PauseMs > 0 {
-		return w.PauseMs
+		pause = w.PauseMs
 	}
-	return defaultWatchDelay
+	return min(pause, w.Bound.WatchPause())
 }
 
 // jitter returns span changed by up to an eighth in either direction.
