Don't take a removed searcher for a lapsed one without an outage

What callers saw: hosts that nothing had disturbed read in time that a searcher's entry was gone, and sent requests to it for up to 2.2 s more, past drain_ms.

Cause: a host concluded that the platform had been away, so that entries had lapsed, from its own silence (2.6 s without a list), whatever had kept it from hearing. Ruled out: a read of theirs that had failed, and the mark of an old outage (the time counted from the last list, and no read had failed).

Change: an outage is assumed if reads of this host have failed since the last known read, and that is older than the shortest outage in which entries lapse. A host that has asked nobody can't tell: it keeps a removed searcher no longer than the drain time allows, counted from that read.

Test: TestHostThatAskedNobodyDropsARemovedSearcher failed before ("listed searchers are [a b], want [a]"). Lapsed entries are kept as before: TestLapsedEntriesStayWhileReadersAreAway, TestLapsedEntriesStayIfReadersFreezeInASilentOutage and TestExpiredSearchersStayForGracePeriod pass.

--- a/census/searcherlist.go
+++ b/census/searcherlist.go
@@ -82,13 +82,13 @@
 // Position returns the position up to which changes were applied.
 func (l *SearcherList) Position() yuccahinge.Position { return l.position }
 
-// RecordOutage records a platform outage. The next Apply ends it and starts the grace period, unless EndOutage
-// is called before.
+// RecordOutage records a platform outage. The next Apply ends it and starts the grace period.
 func (l *SearcherList) RecordOutage() { l.inOutage = true }
 
-// EndOutage records that another host's list shows that the platform is back and that the grace period after its outage, if any, is
-// over.
-func (l *SearcherList) EndOutage() { l.inOutage = false }
+// KeepRemoved keeps entries that are removed from now on in the list until a time, but no longer than after an outage.
+func (l *SearcherList) KeepRemoved(now, until yuccahinge.Millis) {
+	l.graceEnd = max(l.graceEnd, min(until, now+l.graceMs()))
+}
 
 // Apply applies changes read from the platform at the time now and reports whether the list of searchers changed.
 func (l *SearcherList) Apply(now yuccahinge.Millis, b *yuccahinge.ChangeBatch) bool {
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -42,10 +42,6 @@
 	slowReadFactor = 4
 	// firstListMs bounds the wait for a reader's list at the start. A whole list takes a few milliseconds.
 	firstListMs yuccahinge.Millis = 100
-	// entryExpiryMs is the time without an update after which the platform may have been down long enough for entries
-	// to expire: a searcher's entry lasts three heartbeats, of which one may already have passed. Watches take less
-	// time, and so do the calls to silent readers and their substitutes.
-	entryExpiryMs yuccahinge.Millis = 2600
 	// firstBackoff and maxBackoff bound the wait after a failed read.
 	firstBackoff yuccahinge.Millis = 100
 	maxBackoff   yuccahinge.Millis = 500
@@ -117,13 +113,10 @@
 	nextDirectRead yuccahinge.Millis
 	// followsReaders reports whether other hosts read the platform for this one.
 	followsReaders bool
-	// hasList reports whether a list was received since the start, and lastUpdate is when the last reply arrived.
+	// hasList reports whether a list was received since the start.
 	hasList bool
 	// keeps reports whether the list holds searchers without an entry.
-	keeps      bool
-	lastUpdate yuccahinge.Millis
-	// lastFailure is when a read of the platform failed last.
-	lastFailure yuccahinge.Millis
+	keeps bool
 	// lastKnownRead is when the platform was last read for this host, by itself or by the reader whose list it has. It is that of the
 	// list before during an update.
 	lastKnownRead yuccahinge.Millis
@@ -169,15 +162,10 @@
 
 // mergePeerBatch merges the changes that a reader, a host that reads the platform directly, has replied with.
 func (w *Watcher) mergePeerBatch(b *yuccahinge.ChangeBatch) {
-	w.lastUpdate = w.Clock.Now()
 	w.listed = w.listed || b.Snapshot
 	w.markPlatformUp(b)
 	w.update(func(now yuccahinge.Millis) bool { return w.list.Merge(now, b) }, false)
 	w.recordKnownRead(w.Clock.Now() - b.AgeMs)
-	if w.Clock.Now()-b.AgeMs > w.lastFailure {
-		// The reader has read the platform since then, and answers outside of grace periods only.
-		w.list.EndOutage()
-	}
 }
 
 // recordKnownRead records when the platform was read for this host's list.
@@ -331,10 +319,7 @@
 		return 0
 	case err == nil:
 		w.markPlatformUp(b)
-		if w.hasList && w.Clock.Now() > w.lastUpdate+entryExpiryMs {
-			w.list.RecordOutage()
-		}
-		w.lastUpdate = w.Clock.Now()
+		w.expectRemovals()
 		w.problems.update(b, func(detail string) { w.record(event.SearcherEntryInvalid, detail) })
 		w.update(func(now yuccahinge.Millis) bool { return w.list.Apply(now, b) }, true)
 		w.recordKnownRead(w.Clock.Now())
@@ -420,10 +405,22 @@
 	w.keeps = keeps
 }
 
+// expectRemovals prepares the list for a read of the platform: entries that are missing may have lapsed in an outage if the last known
+// read is old enough for that.
+func (w *Watcher) expectRemovals() {
+	now := w.Clock.Now()
+	switch {
+	case !w.hasList || now < w.lastKnownRead+w.Bound.ShortestOutage():
+	case w.failures > 0:
+		w.list.RecordOutage()
+	default:
+		// This host has asked nobody in the meantime, so it can't tell an outage from a departure.
+		w.list.KeepRemoved(now, w.lastKnownRead+w.Bound.KeepFor())
+	}
+}
+
 // markPlatformDown handles a failed read of the platform.
 func (w *Watcher) markPlatformDown(err error) {
-	w.list.RecordOutage()
-	w.lastFailure = w.Clock.Now()
 	w.failures++
 	if !w.platformDown {
 		w.platformDown = true
--- a/internal/state/watch/watcher_test.go
+++ b/internal/state/watch/watcher_test.go
@@ -29,7 +29,8 @@
 	readersRefuse bool          // readers cannot read the platform; watches get no reply
 	peerDelay     time.Duration // how much longer readers take to reply
 	age           yuccahinge.Millis
-	fresh         bool // the last fresh value that the Watcher passed to SetList
+	fresh         bool              // the last fresh value that the Watcher passed to SetList
+	stoodStill    yuccahinge.Millis // how long the Watcher's process has stood still
 	revision      yuccahinge.Revision
 	ids           []string
 }
@@ -82,6 +83,15 @@
 	return p.read(after)
 }
 
+// testClock is the clock of the Watcher's host.
+type testClock struct{ *testPlatform }
+
+func (c testClock) Now() yuccahinge.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return clock.Clock{}.Now() + c.stoodStill
+}
+
 // testPeers implements Peers for the other hosts.
 type testPeers struct{ *testPlatform }
 
@@ -137,7 +147,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var mu sync.Mutex
 		var now []string
-		w := &Watcher{ListWatcher: p, Peers: testPeers{p}, Clock: clock.Clock{}, OnChange: func(s map[yuccahinge.ServiceName][]*yuccahinge.Registration) {
+		w := &Watcher{ListWatcher: p, Peers: testPeers{p}, Clock: testClock{p}, OnChange: func(s map[yuccahinge.ServiceName][]*yuccahinge.Registration) {
 			mu.Lock()
 			defer mu.Unlock()
 			now = nil
@@ -362,6 +372,19 @@
 	})
 }
 
+// TestHostThatAskedNobodyDropsARemovedSearcher guards against a host that takes a removal for the effect of an outage, although it has not
+// asked the platform in the meantime, and so sends requests to a searcher that has left.
+func TestHostThatAskedNobodyDropsARemovedSearcher(t *testing.T) {
+	p := &testPlatform{reads: true, revision: 1, ids: []string{"a", "b"}}
+	runWatcher(t, p, func(listed func() string) {
+		time.Sleep(5 * time.Second)
+		p.set(func() { p.stoodStill, p.ids = 2700, []string{"a"} })
+		time.Sleep(departureInForce - 2700*time.Millisecond)
+		time.Sleep(defaultWatchDelay.Duration()) // the pause in which the process stood still
+		wantListed(t, listed, "[a]")
+	})
+}
+
 // TestAgeOfAListCountsAsAPause guards against a host that drops searchers whose entries lapsed in an outage, since the last list that
 // its reader sent it was already old.
 func TestAgeOfAListCountsAsAPause(t *testing.T) {
