Count an outage of 1.9 heartbeats as the shortest in which entries lapse

An entry lapses after three intervals without a heartbeat, one of which may have passed before the outage; a tenth of a heartbeat is left for one that is late.

--- a/internal/state/delays/bound.go
+++ b/internal/state/delays/bound.go
@@ -13,9 +13,9 @@
 	// limitShare is the part of the drain time in which a host has to have read the platform. The rest is for a read that has to be
 	// repeated and for requests that are on their way.
 	limitShare = 0.65
-	// lapseBeats is the number of heartbeats that fit into the shortest outage of the platform in which an entry can lapse. An entry
-	// lapses after three heartbeats without one; one may have passed before the outage, and the next one be late.
-	lapseBeats = 1.6
+	// lapseBeats is the length, in heartbeats, of the shortest outage of the platform in which an entry can lapse. An entry lapses after three
+	// intervals without a heartbeat; one of them, which may be a little longer than usual, may have passed before the outage.
+	lapseBeats = 1.9
 	// keepShare is the part of the drain time after the last known read for which a searcher without an entry may be kept by a host that
 	// does not know whether the platform was away.
 	keepShare = 0.9
