--- a/internal/state/delays/bound.go
+++ b/internal/state/delays/bound.go
@@ -23,16 +23,16 @@
 
 // Shares of Bound.Limit.
 const (
-	watchWaitShare   = 0.22
-	watchPauseShare  = 0.2
-	readTimeoutShare = 0.25
-	refreshShare     = 0.35
-	othersShare      = 0.68
-	substitutesShare = 0.74
-	readShare        = 0.82
-	readSpreadShare  = 0.06
-	minCallShare     = 0.1
-	minGainShare     = 0.1
+	readIntervalShare = 0.42
+	watchPauseShare   = 0.2
+	readTimeoutShare  = 0.25
+	refreshShare      = 0.35
+	othersShare       = 0.68
+	substitutesShare  = 0.74
+	readShare         = 0.82
+	readSpreadShare   = 0.06
+	minCallShare      = 0.1
+	minGainShare      = 0.1
 )
 
 // Bound derives the delays of reads of the list of searchers from how long a searcher that leaves still serves, and from how often
@@ -59,10 +59,10 @@
 // KeepFor returns the age up to which a host that does not know whether the platform was away may keep a searcher without an entry.
 func (b Bound) KeepFor() yuccahinge.Millis { return keepShare * b.drain() }
 
-// WatchWait returns the longest wait of a read of the platform.
-func (b Bound) WatchWait() yuccahinge.Millis { return watchWaitShare * b.Limit() }
+// ReadInterval returns the longest time from one read of the platform to the next, by a host that others rely on.
+func (b Bound) ReadInterval() yuccahinge.Millis { return readIntervalShare * b.Limit() }
 
-// WatchPause returns the longest pause between two reads of the platform.
+// WatchPause returns the longest pause after a read of the platform that has found a change.
 func (b Bound) WatchPause() yuccahinge.Millis { return watchPauseShare * b.Limit() }
 
 // ReadTimeout returns how long after the end of its wait a read of the platform is late, so that it may be on a dead connection.
--- a/internal/state/delays/bound_test.go
+++ b/internal/state/delays/bound_test.go
@@ -16,7 +16,7 @@
 			t.Run(fmt.Sprintf("drain %g, heartbeat %g", drain, heartbeat), func(t *testing.T) {
 				b := Bound{DrainMs: drain, HeartbeatMs: heartbeat}
 				const jitter = 1.125
-				cycle := jitter*b.WatchPause() + b.WatchWait()
+				cycle := b.ReadInterval()
 				steps := []yuccahinge.Millis{
 					max(cycle, b.RefreshAfter()+jitter*b.WatchPause()), // the greatest age at rest
 					b.AskOthersAfter(), b.AskSubstitutesAfter(), b.ReadAfter(0), b.ReadAfter(1), b.Limit(), b.ShortestOutage(),
--- a/internal/state/relay/watch.go
+++ b/internal/state/relay/watch.go
@@ -116,8 +116,8 @@
 	return b, causeOf(ctx, err)
 }
 
-// callSubstitutes asks substitutes after the readers failed with an error. If these can't read the platform, it doesn't wait until
-// the substitutes have: that may fail as well, and the readers answer as soon as the platform does.
+// callSubstitutes asks substitutes after the readers failed with an error. If these can't read the platform, it waits until the
+// substitutes have only if the search says so: that may fail as well, and the readers answer as soon as the platform does.
 func (r *Relay) callSubstitutes(ctx context.Context, readers []yuccahinge.Member, s *search, cause error) (*yuccahinge.ChangeBatch, error) {
 	refused := errors.Is(cause, yuccahinge.ErrPlatformUnavailable)
 	passedOver := r.passedOverHosts()
--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -79,8 +79,8 @@
 	// spread is this host's share of the time over which hosts spread their reads.
 	spread  float64
 	backoff yuccahinge.Millis
-	// readMs is how long the last read took beyond its wait.
-	readMs yuccahinge.Millis
+	// waitedMs is how long the last read took, and readMs how long it took beyond its wait.
+	waitedMs, readMs yuccahinge.Millis
 	// listed reports whether the whole list was read, so that reading changes suffices.
 	listed       bool
 	platformDown bool
@@ -198,7 +198,7 @@
 		w.problems.update(b, func(detail string) { w.record(event.SearcherEntryInvalid, detail) })
 		w.update(func(now yuccahinge.Millis) bool { return w.list.Apply(now, b) }, true)
 		w.recordKnownRead(w.Clock.Now())
-		return w.watchDelay()
+		return w.watchDelay(b)
 	case errors.Is(err, yuccahinge.ErrCompacted):
 		w.listed = false
 		return 0
@@ -225,8 +225,8 @@
 	wait := minWaitMs
 	if !w.followsReaders {
 		// Other hosts wait for the result if the last known read is old.
-		left := w.lastKnownRead + w.Bound.WatchPause() + w.Bound.WatchWait() - w.Clock.Now()
-		wait = w.watchWait(max(minWaitMs, min(watchWaitMs, w.Bound.WatchWait(), left)))
+		left := w.lastKnownRead + w.Bound.ReadInterval() - w.Clock.Now()
+		wait = w.watchWait(max(minWaitMs, min(watchWaitMs, left)))
 	}
 	if w.failures == 0 {
 		// A read that takes much longer than the last one may be on a dead connection.
@@ -237,7 +237,8 @@
 	start := w.Clock.Now()
 	b, err := w.ListWatcher.Watch(ctx, w.list.Position(), wait)
 	if err == nil {
-		w.readMs = max(0, w.Clock.Now()-start-wait)
+		w.waitedMs = w.Clock.Now() - start
+		w.readMs = max(0, w.waitedMs-wait)
 	}
 	return b, err
 }
@@ -337,7 +338,11 @@
 	}
 }
 
-func (w *Watcher) watchDelay() yuccahinge.Millis {
+// watchDelay returns the pause after a read. A watch that has waited in vain goes on at once, since a change in the pause is noticed late.
+func (w *Watcher) watchDelay(b *yuccahinge.ChangeBatch) yuccahinge.Millis {
+	if len(b.Changes) == 0 && w.waitedMs >= minWaitMs {
+		return 0
+	}
 	pause := defaultWatchDelay
 	if w.PauseMs > 0 {
 		pause = w.PauseMs
