--- a/internal/state/watch/watcher.go
+++ b/internal/state/watch/watcher.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// defaultWatchDelay is the time between two watches. Each watch ends at once because of heartbeats, so a shorter wait
-	// costs calls; a longer one delays the detection of a draining searcher.
+	// defaultWatchDelay is the pause after a watch that has found a change, which may be a mere heartbeat: a shorter one costs calls; a
+	// longer one delays the detection of a draining searcher.
 	defaultWatchDelay yuccahinge.Millis = 400
 	// watchWaitMs is how long one watch of the platform waits for a change. Heartbeats end most watches at once. If
 	// a reply is lost, changes are detected only after the watch times out, which must be before a searcher that
@@ -64,7 +64,7 @@
 	AwaitPeers func(ctx context.Context)
 	Recorder   yuccahinge.EventRecorder
 	Clock      yuccahinge.Clock
-	// PauseMs is the wait between two watches of the platform; zero takes a default.
+	// PauseMs is the pause after a watch of the platform that has found a change; zero takes a default.
 	PauseMs yuccahinge.Millis
 	// Bound bounds the delays of reads.
 	Bound delays.Bound
@@ -287,6 +287,7 @@
 	now := w.Clock.Now()
 	switch {
 	case !w.hasList || now < w.lastKnownRead+w.Bound.ShortestOutage():
+		// No entry can have lapsed since.
 	case w.failures > 0:
 		w.list.RecordOutage()
 	default:
