Show that searchers go on with requests of clients that left

Cause: a part that a host of another zone runs is answered when its time has come, and its open calls go on to the deadline, whatever the client does meanwhile.

--- /dev/null
+++ b/review/stage3/searcher.go
@@ -0,0 +1,209 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+// Header fields of the protocol.
+const (
+	headerAttempt  = "Yuccahinge-Attempt-Id"
+	headerDeadline = "Yuccahinge-Deadline-Ms"
+	headerTarget   = "Yuccahinge-Target-Instance"
+	headerStamp    = "Yuccahinge-Server-Stamp"
+	headerLoad     = "Yuccahinge-Server-Load"
+	headerInstance = "Yuccahinge-Instance"
+	headerNotRun   = "Yuccahinge-Not-Run"
+)
+
+const (
+	// maxQueued is how many requests wait for a slot.
+	maxQueued   = 12
+	recordBytes = 16
+	// sweepRecords makes parts of about 1,000 bytes.
+	sweepRecords = 62
+)
+
+// searcher is one searcher of a service. Set the fields up to born before serve.
+type searcher struct {
+	id, service, zone string
+	slots             int
+	// work returns how long a run takes.
+	work func() time.Duration
+	// records is the number of records in a part.
+	records int
+	born    int64
+	// log, if set, records the runs.
+	log *runLog
+
+	addr string
+	free chan struct{}
+	// hang holds the bits of the share of the requests that are held without an answer, and bytesPerSecond how fast bodies are read;
+	// zero means at once.
+	hang           atomic.Uint64
+	bytesPerSecond atomic.Int64
+	running        atomic.Int64
+	queued         atomic.Int64
+}
+
+// sweepWork returns the work of a run as on the site kontspis-hladanie: 11 ms in the mean, and five times as much for one in a hundred.
+func sweepWork() time.Duration {
+	const mean, spread, tail, tailX, most = 11.0, 0.35, 0.01, 5.0, 82.0
+	ms := mean * math.Exp(spread*rand.NormFloat64()-spread*spread/2)
+	if rand.Float64() < tail {
+		ms *= tailX
+	}
+	return time.Duration(min(ms, most) * float64(time.Millisecond))
+}
+
+// setHang sets the share of the requests that are held without an answer.
+func (s *searcher) setHang(share float64) { s.hang.Store(math.Float64bits(share)) }
+
+// serve answers requests on a new port until ctx ends.
+func (s *searcher) serve(ctx context.Context) error {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.addr = l.Addr().String()
+	s.free = make(chan struct{}, s.slots)
+	server := &http.Server{Handler: http.HandlerFunc(s.handle)}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	go func() { _ = server.Serve(l) }() // returns when the server is closed
+	return nil
+}
+
+func (s *searcher) handle(w http.ResponseWriter, r *http.Request) {
+	h := w.Header()
+	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", s.running.Load(), s.queued.Load(), s.slots))
+	if r.URL.Path == "/health" {
+		h.Set(headerInstance, s.id)
+		return
+	}
+	attempt := r.Header.Get(headerAttempt)
+	h.Set(headerAttempt, attempt)
+	if r.Header.Get(headerTarget) != s.id {
+		h.Set(headerInstance, s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if err := s.readBody(r); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeLeft(r))
+	defer cancel()
+	if !s.acquire(ctx) {
+		h.Set(headerNotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.release()
+	h.Set(headerStamp, s.stamp(attempt))
+	if !s.run(ctx, attempt) {
+		w.WriteHeader(http.StatusGatewayTimeout)
+		return
+	}
+	_, _ = w.Write(answer(s.service, attempt, s.records)) // fails only if the caller has left
+}
+
+// run works on a request and reports whether the work was done before ctx ended.
+func (s *searcher) run(ctx context.Context, attempt string) bool {
+	deadline, _ := ctx.Deadline() // there always is one
+	due := time.Now().Add(s.work())
+	if due.After(deadline) || rand.Float64() < math.Float64frombits(s.hang.Load()) {
+		due = deadline
+	}
+	if s.log != nil {
+		defer s.log.finish(s.log.begin(attempt, s.id, due))
+	}
+	t := time.NewTimer(time.Until(due))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return due.Before(deadline)
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// readBody reads the body of a request.
+func (s *searcher) readBody(r *http.Request) error {
+	const piecesPerSecond = 20
+	for {
+		speed := s.bytesPerSecond.Load()
+		if speed <= 0 {
+			_, err := io.Copy(io.Discard, r.Body)
+			return err
+		}
+		n, err := io.CopyN(io.Discard, r.Body, speed/piecesPerSecond)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		time.Sleep(time.Second * time.Duration(n) / time.Duration(speed))
+	}
+}
+
+// timeLeft returns how long the caller waits.
+func timeLeft(r *http.Request) time.Duration {
+	n, err := strconv.Atoi(r.Header.Get(headerDeadline))
+	if err != nil {
+		return 10 * time.Second
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// acquire waits for a slot. It reports false if the queue is full or ctx ends first.
+func (s *searcher) acquire(ctx context.Context) bool {
+	select {
+	case s.free <- struct{}{}:
+		s.running.Add(1)
+		return true
+	default:
+	}
+	if s.queued.Add(1) > maxQueued {
+		s.queued.Add(-1)
+		return false
+	}
+	defer s.queued.Add(-1)
+	select {
+	case s.free <- struct{}{}:
+		s.running.Add(1)
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *searcher) release() {
+	s.running.Add(-1)
+	<-s.free
+}
+
+// stamp returns the signature of an answer to an attempt.
+func (s *searcher) stamp(attempt string) string {
+	sum := sha256.Sum256([]byte(s.id + "/" + attempt))
+	return fmt.Sprintf("%s.%s.%x", s.service, s.id, sum[:6])
+}
+
+// answer returns the records of a service for an attempt.
+func answer(service, attempt string, records int) []byte {
+	out := make([]byte, 0, records*recordBytes)
+	for i := range records {
+		sum := sha256.Sum256(fmt.Appendf(nil, "%s/%s/%d", service, attempt, i))
+		out = append(out, sum[:recordBytes]...)
+	}
+	return out
+}
