--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(ctx context.Context, s *system, trouble bool) (bool, error){
 	"memory": playMemory,
 	"gone":   playGone,
+	"odd":    playOdd,
 }
 
 func main() { os.Exit(run()) }
