--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -21,7 +21,6 @@
 // cases maps the names of cases to functions that report whether the rule was broken.
 var cases = map[string]func(ctx context.Context, s *system, trouble bool) (bool, error){
 	"memory": playMemory,
-	"gone":   playGone,
 	"odd":    playOdd,
 }
 
--- a/review/stage3/memory.go
+++ b/review/stage3/memory.go
@@ -14,6 +14,7 @@
 
 // The case memory: the one machine that is left gets whole bodies of legal size on routes that go to all shards.
 const (
+	deskShards   = 20
 	portalShards = 30
 	crowdSize    = 400
 	crowdBody    = 200_000
--- a/review/stage3/odd.go
+++ b/review/stage3/odd.go
@@ -16,6 +16,7 @@
 	oddTurns = 300
 	// oddEvery is how many requests come for one of the odd kind.
 	oddEvery  = 10
+	oddZone   = "poprad"
 	oddPause  = 100 * time.Millisecond
 	oddLine   = "X-Town: Ko\xb9ice\r\n" // ISO 8859-2
 	plainLine = "X-Town: Kosice\r\n"
@@ -58,7 +59,7 @@
 	}
 	var poprad []*host
 	for _, h := range s.hosts {
-		if h.zone == leaveZone {
+		if h.zone == oddZone {
 			poprad = append(poprad, h)
 		}
 	}
--- a/review/stage3/searcher.go
+++ b/review/stage3/searcher.go
@@ -43,14 +43,10 @@
 	// records is the number of records in a part.
 	records int
 	born    int64
-	// log, if set, records the runs.
-	log *runLog
 
 	addr string
 	free chan struct{}
-	// hang holds the bits of the share of the requests that are held without an answer, and bytesPerSecond how fast bodies are read;
-	// zero means at once.
-	hang           atomic.Uint64
+	// bytesPerSecond is how fast bodies are read; zero means at once.
 	bytesPerSecond atomic.Int64
 	running        atomic.Int64
 	queued         atomic.Int64
@@ -66,9 +62,6 @@
 	return time.Duration(min(ms, most) * float64(time.Millisecond))
 }
 
-// setHang sets the share of the requests that are held without an answer.
-func (s *searcher) setHang(share float64) { s.hang.Store(math.Float64bits(share)) }
-
 // serve answers requests on a new port until ctx ends.
 func (s *searcher) serve(ctx context.Context) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -109,7 +102,7 @@
 	}
 	defer s.release()
 	h.Set(headerStamp, s.stamp(attempt))
-	if !s.run(ctx, attempt) {
+	if !s.run(ctx) {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
@@ -117,20 +110,12 @@
 }
 
 // run works on a request and reports whether the work was done before ctx ended.
-func (s *searcher) run(ctx context.Context, attempt string) bool {
-	deadline, _ := ctx.Deadline() // there always is one
-	due := time.Now().Add(s.work())
-	if due.After(deadline) || rand.Float64() < math.Float64frombits(s.hang.Load()) {
-		due = deadline
-	}
-	if s.log != nil {
-		defer s.log.finish(s.log.begin(attempt, s.id, due))
-	}
-	t := time.NewTimer(time.Until(due))
+func (s *searcher) run(ctx context.Context) bool {
+	t := time.NewTimer(s.work())
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return due.Before(deadline)
+		return true
 	case <-ctx.Done():
 		return false
 	}
--- a/review/stage3/system.go
+++ b/review/stage3/system.go
@@ -65,7 +65,7 @@
 	for i, zone := range zones {
 		one := &searcher{
 			id: fmt.Sprintf("i-%s-%d", template.service, i), service: template.service, zone: zone, slots: template.slots,
-			work: template.work, records: template.records, born: time.Now().UnixMilli(), log: template.log,
+			work: template.work, records: template.records, born: time.Now().UnixMilli(),
 		}
 		if err := one.serve(ctx); err != nil {
 			return err
