--- a/review/stage3/memory.go
+++ b/review/stage3/memory.go
@@ -9,10 +9,11 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
-// The case memory: the one machine that is left gets whole bodies of legal size on routes that go to all shards.
+// The case memory: the one machine that is left, after the others were taken away in turn, gets whole bodies of legal size on routes that go to all shards.
 const (
 	deskShards   = 20
 	portalShards = 30
@@ -21,8 +22,8 @@
 	crowdFor     = 9 * time.Second
 	// readSpeed is how fast searchers read, in bytes per second.
 	readSpeed = 100_000
-	// lossFor is how long the lost machines are away before the bodies come.
-	lossFor = 55 * time.Second
+	// leaveGap is the time from one SIGTERM to the next, and awayFor that from the last one to the bodies.
+	leaveGap, awayFor = 2 * time.Second, 42 * time.Second
 	// maxPeakKB is the memory of the machine in the larger of the two usual meanings of MB.
 	maxPeakKB = memoryMb * 1024
 )
@@ -65,12 +66,9 @@
 	sleep(ctx, settleFor)
 	last := s.hosts[0]
 	if trouble {
-		for _, h := range s.hosts[1:] {
-			h.stop()
-		}
-		s.record.printf("killed all hosts but %s", last.name)
+		s.removeAllBut(ctx, last)
 	}
-	sleep(ctx, lossFor)
+	sleep(ctx, awayFor)
 	var body []byte
 	if trouble {
 		body = bytes.Repeat([]byte(" "), crowdBody)
@@ -85,6 +83,18 @@
 	return peak > maxPeakKB || last.hasEnded(), nil
 }
 
+// removeAllBut sends SIGTERM to the other hosts in turn. They drain, end and don't come back.
+func (s *system) removeAllBut(ctx context.Context, last *host) {
+	for _, h := range s.hosts {
+		if h == last {
+			continue
+		}
+		_ = h.cmd.Process.Signal(syscall.SIGTERM) // fails only if it has ended
+		s.record.printf("SIGTERM to %s, which leaves", h.name)
+		sleep(ctx, leaveGap)
+	}
+}
+
 // sendBodies lets clients send requests with a body, each the next one when the last one has ended.
 func (s *system) sendBodies(ctx context.Context, h *host, body []byte) {
 	crowd, cancel := context.WithTimeout(ctx, crowdFor)
