Show successes that name no part

Cause: forwardAnswer compares the shards that replied with min_share alone, so that a route with min_share 0 is answered 200 when none did.

--- a/review/stage3/searcher.go
+++ b/review/stage3/searcher.go
@@ -50,6 +50,8 @@
 	bytesPerSecond atomic.Int64
 	running        atomic.Int64
 	queued         atomic.Int64
+	// isDark means that it is silent: it answers nothing and doesn't write to the store.
+	isDark atomic.Bool
 }
 
 // sweepWork returns the work of a run as on the site kontspis-hladanie: 11 ms in the mean, and five times as much for one in a hundred.
@@ -77,6 +79,10 @@
 }
 
 func (s *searcher) handle(w http.ResponseWriter, r *http.Request) {
+	if s.isDark.Load() {
+		<-r.Context().Done() // the caller has left
+		return
+	}
 	h := w.Header()
 	h.Set(headerLoad, fmt.Sprintf("%d,%d,%d", s.running.Load(), s.queued.Load(), s.slots))
 	if r.URL.Path == "/health" {
--- a/review/stage3/system.go
+++ b/review/stage3/system.go
@@ -103,6 +103,9 @@
 func (s *system) beat(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
 		for _, one := range s.searchers {
+			if one.isDark.Load() {
+				continue
+			}
 			s.put("servers/"+one.id, map[string]any{
 				"service": one.service, "addr": one.addr, "zone": one.zone, "version": "v1", "max_concurrency": one.slots, "state": "ready",
 				"warmup_left_ms": 0, "sequence": n, "born": one.born,
