Show that late crashes of searchers go unnoticed

Cause: a host that runs a part for another one answers at AnswerBy and reports no lost connection; the host that has delegated the part learns only of those before the answer. A request that crashes searchers later than the objective is so never suspected if it comes at hosts of a zone without searchers.

--- a/review/stage3/empty.go
+++ b/review/stage3/empty.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -132,7 +133,7 @@
 	case err != nil || resp.StatusCode != http.StatusOK:
 		t.failed.Add(1)
 		s.record.printf("%s to %s: %s, %v", id, h.name, resp.Status, err)
-	case !s.areParts(strings.Join(stamps, ","), id, shards):
+	case !areParts(strings.Join(stamps, ","), id, shards):
 		t.wrong.Add(1)
 		s.record.printf("%s to %s: %s with %s %q and a body of %d bytes", id, h.name, resp.Status, headerParts, stamps, len(body))
 	default:
@@ -141,15 +142,12 @@
 }
 
 // areParts reports whether a list has at least one entry, and each is a signature for the request by a searcher of one of the shards.
-func (s *system) areParts(list, id string, shards []string) bool {
-	valid := make(map[string]bool)
-	for _, one := range s.searchers {
-		for _, name := range shards {
-			valid[one.stamp(id)] = valid[one.stamp(id)] || one.service == name
-		}
-	}
+func areParts(list, id string, shards []string) bool {
 	for entry := range strings.SplitSeq(list, ",") {
-		if !valid[strings.TrimSpace(entry)] {
+		entry = strings.TrimSpace(entry)
+		service, rest, _ := strings.Cut(entry, ".")
+		name, _, _ := strings.Cut(rest, ".")
+		if !slices.Contains(shards, service) || entry != (&searcher{service: service, id: name}).stamp(id) {
 			return false
 		}
 	}
--- a/review/stage3/main.go
+++ b/review/stage3/main.go
@@ -21,6 +21,7 @@
 // cases maps the names of cases to functions that report whether the rule was broken.
 var cases = map[string]func(ctx context.Context, s *system, trouble bool) (bool, error){
 	"empty":  playEmpty,
+	"late":   playLate,
 	"memory": playMemory,
 	"odd":    playOdd,
 }
--- a/review/stage3/searcher.go
+++ b/review/stage3/searcher.go
@@ -52,6 +52,9 @@
 	queued         atomic.Int64
 	// isDark means that it is silent: it answers nothing and doesn't write to the store.
 	isDark atomic.Bool
+	// onRun, if set, is called when a run begins, before the work.
+	onRun  func(r *http.Request)
+	server *http.Server
 }
 
 // sweepWork returns the work of a run as on the site kontspis-hladanie: 11 ms in the mean, and five times as much for one in a hundred.
@@ -70,12 +73,17 @@
 	if err != nil {
 		return err
 	}
+	s.serveOn(ctx, l)
+	return nil
+}
+
+// serveOn answers requests on a listener until ctx ends.
+func (s *searcher) serveOn(ctx context.Context, l net.Listener) {
 	s.addr = l.Addr().String()
 	s.free = make(chan struct{}, s.slots)
-	server := &http.Server{Handler: http.HandlerFunc(s.handle)}
-	context.AfterFunc(ctx, func() { _ = server.Close() })
-	go func() { _ = server.Serve(l) }() // returns when the server is closed
-	return nil
+	s.server = &http.Server{Handler: http.HandlerFunc(s.handle)}
+	context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	go func() { _ = s.server.Serve(l) }() // returns when the server is closed
 }
 
 func (s *searcher) handle(w http.ResponseWriter, r *http.Request) {
@@ -107,6 +115,9 @@
 		return
 	}
 	defer s.release()
+	if s.onRun != nil {
+		s.onRun(r)
+	}
 	h.Set(headerStamp, s.stamp(attempt))
 	if !s.run(ctx) {
 		w.WriteHeader(http.StatusGatewayTimeout)
--- a/review/stage3/system.go
+++ b/review/stage3/system.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/yuccahinge/yuccahinge/internal/trial/standin/store"
@@ -29,7 +30,8 @@
 	root, dir string
 	store     store.Store
 	storeAddr string
-	searchers []*searcher
+	mu        sync.Mutex
+	searchers []*searcher // guarded by mu once beat runs
 	hosts     []*host
 	services  []map[string]any
 	routes    []map[string]any
@@ -102,19 +104,36 @@
 // beat writes the entries of the searchers at each heartbeat until ctx ends.
 func (s *system) beat(ctx context.Context) {
 	for n := 1; ctx.Err() == nil; n++ {
+		s.mu.Lock()
 		for _, one := range s.searchers {
-			if one.isDark.Load() {
-				continue
+			if !one.isDark.Load() {
+				s.putEntry(one, n)
 			}
-			s.put("servers/"+one.id, map[string]any{
-				"service": one.service, "addr": one.addr, "zone": one.zone, "version": "v1", "max_concurrency": one.slots, "state": "ready",
-				"warmup_left_ms": 0, "sequence": n, "born": one.born,
-			})
 		}
+		s.mu.Unlock()
 		sleep(ctx, heartbeat)
 	}
 }
 
+func (s *system) putEntry(one *searcher, sequence int) {
+	s.put("servers/"+one.id, map[string]any{
+		"service": one.service, "addr": one.addr, "zone": one.zone, "version": "v1", "max_concurrency": one.slots, "state": "ready",
+		"warmup_left_ms": 0, "sequence": sequence, "born": one.born,
+	})
+}
+
+// replace puts a searcher in the place of one that has ended, and writes its entry.
+func (s *system) replace(old, next *searcher) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, one := range s.searchers {
+		if one == old {
+			s.searchers[i] = next
+			s.putEntry(next, 1)
+		}
+	}
+}
+
 // siteZones returns the zones of the machines of the site, in the order of their starts.
 func siteZones() []string {
 	return []string{"kosice", "poprad", "presov", "kosice", "poprad", "presov", "kosice", "kosice"}
