--- a/review/stage3/host.go
+++ b/review/stage3/host.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -28,7 +29,8 @@
 	lowPort, highPort = 20_000, 30_000
 )
 
-var nextPort = lowPort + os.Getpid()%100*100
+// nextPort begins anywhere, so that runs at the same time seldom choose the same ports.
+var nextPort = lowPort + rand.IntN(highPort-lowPort)
 
 // freeAddrs returns loopback addresses with free ports.
 func freeAddrs(n int) ([]string, error) {
--- a/review/stage3/system.go
+++ b/review/stage3/system.go
@@ -169,7 +169,11 @@
 	return nil
 }
 
+// isReady is false if the process has ended, as one does whose port another run has taken.
 func (h *host) isReady() bool {
+	if h.hasEnded() {
+		return false
+	}
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := client.Get("http://" + h.ready + "/v1/ready")
 	if err != nil {
