Log searchers that are lost after the answer to a request

Attempts that outlast the answer have no event.

Change: event lossAfterAnswer (213) says that a searcher closed the connection of such an attempt, or that this host ended the call while the searcher may have gone on, for a request that none ran to its end. It is recorded once a request. ShardResult.MayStillRun marks the attempts that this host ended.

--- a/event/search.go
+++ b/event/search.go
@@ -20,6 +20,9 @@
 	CrashUnproven yuccahinge.EventCode = 211
 	// CrashCleared means that a response ended the suspicion that a forwarded request crashes searchers.
 	CrashCleared yuccahinge.EventCode = 212
+	// LossAfterAnswer means that a searcher was lost by a forwarded request that none had run to its end, after the request or
+	// part was answered.
+	LossAfterAnswer yuccahinge.EventCode = 213
 )
 
 var searchNames = map[yuccahinge.EventCode]string{
@@ -36,4 +39,5 @@
 	CrashSuspected:   "crashSuspected",
 	CrashUnproven:    "crashUnproven",
 	CrashCleared:     "crashCleared",
+	LossAfterAnswer:  "lossAfterAnswer",
 }
--- a/gather/held.go
+++ b/gather/held.go
@@ -8,9 +8,16 @@
 	sentAt    yuccahinge.Millis     // when the attempt was sent; zero if unknown
 	at        yuccahinge.Millis     // when the connection was closed
 	completed bool                  // a searcher ran the query to its end
+	// unfinished is the searcher of the last attempt that this host ended while the searcher may have run it; empty for none.
+	unfinished       yuccahinge.SearcherID
+	unfinishedSentAt yuccahinge.Millis
+	unfinishedAt     yuccahinge.Millis // when the call ended
 }
 
 func (l *losses) count(now yuccahinge.Millis, a *attempt, r *yuccahinge.ShardResult) {
+	if r.MayStillRun {
+		l.unfinished, l.unfinishedSentAt, l.unfinishedAt = a.searcher, a.sentAt, now
+	}
 	if r.ClosedUnanswered {
 		l.searcher, l.sentAt, l.at = a.searcher, a.sentAt, now
 	}
@@ -31,6 +38,12 @@
 	return g.losses.searcher, g.losses.sentAt, g.losses.at, g.losses.searcher != ""
 }
 
+// UnfinishedSearcher returns the searcher of the last attempt that this host ended while the searcher may have run it, when the attempt
+// was sent, and when its call ended, or false if there is none.
+func (g *Gather) UnfinishedSearcher() (id yuccahinge.SearcherID, sentAt, endedAt yuccahinge.Millis, ok bool) {
+	return g.losses.unfinished, g.losses.unfinishedSentAt, g.losses.unfinishedAt, g.losses.unfinished != ""
+}
+
 // Completed reports whether any searcher ran the query to its end, here or for a part.
 func (g *Gather) Completed() bool { return g.losses.completed || g.coveredCount > 0 }
 
--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -152,6 +153,29 @@
 	}
 }
 
+// recordLateLoss records an event if an attempt that outlasted the answer shows that its searcher may have been lost by a request that
+// none has run to its end.
+func (q *run) recordLateLoss() {
+	e, f := q.engine, q.forwardRequest
+	if e.Crashes == nil || f == nil || q.gather.Completed() {
+		return
+	}
+	how := "closed"
+	id, _, at, ok := q.gather.LostSearcher()
+	if !ok || at < q.answeredAt {
+		how = "unfinished"
+		id, _, at, ok = q.gather.UnfinishedSearcher()
+	}
+	if !ok || at < q.answeredAt {
+		return
+	}
+	detail := fmt.Sprintf("%s %.0f ms after the answer", how, float64(at-q.answeredAt))
+	if f.IsPart {
+		detail += " to a part"
+	}
+	e.record(yuccahinge.Event{Code: event.LossAfterAnswer, Request: q.request, Service: q.service, Searcher: id, Detail: detail})
+}
+
 // RecordEnds records that searchers have ended some seconds ago at most, and reports the requests whose connections they closed
 // shortly before.
 func (e *Engine) RecordEnds(ids ...yuccahinge.SearcherID) {
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -39,6 +39,8 @@
 	messagePrints [2]yuccahinge.Fingerprint
 	// suspect is set if the forwarded request may crash the searchers that run it.
 	suspect bool
+	// answeredAt is when the answer was ready; zero before.
+	answeredAt yuccahinge.Millis
 	// loadReported reports whether the load that the request met was passed to the admission.
 	loadReported bool
 }
@@ -114,6 +116,7 @@
 		return
 	}
 	lost := q.checkLostSearcher()
+	q.answeredAt = q.engine.now()
 	if q.gather.InFlight() > 0 {
 		go q.awaitInFlight(q.cancelAll, lost)
 		return
@@ -242,6 +245,7 @@
 		q.engine.observeReply(&r, q.index.Version)
 		q.gather.HandleResult(q.engine.now(), r.attempt, r.result)
 	}
+	q.recordLateLoss()
 	if lost == nil {
 		lost = q.checkLostSearcher()
 	}
--- a/shardcall.go
+++ b/shardcall.go
@@ -74,6 +74,9 @@
 	// ClosedUnanswered is set if the searcher closed the connection after the request was sent and before any byte of a
 	// response arrived.
 	ClosedUnanswered bool
+	// MayStillRun is set if this host ended the call after the request was sent and before its response was complete, so that the
+	// searcher may go on with it.
+	MayStillRun bool
 	// ReportWithoutReply is the load report of a response that is no valid reply; nil for none.
 	ReportWithoutReply *LoadReport
 	Err                error
