Report losses that a host sees after its answer to a part

Callers saw: a request that crashes each searcher 150 ms after it begins was never refused at hosts of a domain without searchers. It crashed up to 620 searchers in 80 s, and a third of the other requests were served.

Cause: such a host has others run all shards. These answer shortly before the objective with what they have, see the connections end later, and report nothing: only the host that delegated a part reported its losses, and it hears of a part once. Events lossAfterAnswer at the hosts of the parts show it. Ruled out: reports that were refuted (no crashCleared), and notices that were lost (no request had a report).

Change: a host whose part has lost a searcher, and of which no attempt ran to its end, asks the host that delegated it whether to report (peer method loss) and does so if the answer is yes or none comes. The answer is no if the request was run to its end or a loss by it is reported already (package losses), so that one run makes one report. A host that ran a part to its end remembers the response as for its own requests.

Why it works: the loss counts at the host that has seen it, also after the answer, and if the other host has started anew or is cut off. The host that took the request still decides while it can.

--- a/crash/response.go
+++ b/crash/response.go
@@ -64,6 +64,12 @@
 	return yuccahinge.Millis(slot.at.Load() / 2), slot.key.Load() == key
 }
 
+// HasResponseSince reports whether a searcher of some services ran a request of a fingerprint to its end at the given time or later.
+func (t *Tracker) HasResponseSince(since yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
+	at, ok := t.lastResponse(responseKey(f, services))
+	return ok && at >= since
+}
+
 // hasResponse reports whether there was a response with a key recently.
 func (t *Tracker) hasResponse(now yuccahinge.Millis, key uint64) bool {
 	at, ok := t.lastResponse(key)
--- a/event/search.go
+++ b/event/search.go
@@ -23,6 +23,9 @@
 	// LossAfterAnswer means that a searcher was lost by a forwarded request that none had run to its end, after the request or
 	// part was answered.
 	LossAfterAnswer yuccahinge.EventCode = 213
+	// LossReportDenied means that a host does not report such a loss, because the request was run to its end or another loss by it is
+	// reported.
+	LossReportDenied yuccahinge.EventCode = 214
 )
 
 var searchNames = map[yuccahinge.EventCode]string{
@@ -40,4 +43,5 @@
 	CrashUnproven:    "crashUnproven",
 	CrashCleared:     "crashCleared",
 	LossAfterAnswer:  "lossAfterAnswer",
+	LossReportDenied: "lossReportDenied",
 }
--- a/internal/front/assign/assigner.go
+++ b/internal/front/assign/assigner.go
@@ -44,6 +44,7 @@
 type engine interface {
 	Forward(ctx context.Context, f *query.ForwardRequest) (*query.ForwardAnswer, error)
 	AnswerBy(f *query.ForwardRequest) yuccahinge.Millis
+	MayReportLoss(ctx context.Context, l *query.PartLoss) (bool, error)
 }
 
 // Assigner runs forwarded requests on this host or another one. Set all fields before the first request.
@@ -161,6 +162,13 @@
 			return a.runForPeer(ctx, &r)
 		})
 	}
+	handle(MethodLoss, func(ctx context.Context, decode func(any) error) (any, error) {
+		var q lossQuestion
+		if err := decode(&q); err != nil {
+			return nil, err
+		}
+		return a.answerLoss(ctx, &q)
+	})
 	handle(MethodReach, func(context.Context, func(any) error) (any, error) {
 		return &reachReply{Serves: a.CanServe()}, nil
 	})
--- a/internal/front/assign/assigner_test.go
+++ b/internal/front/assign/assigner_test.go
@@ -29,6 +29,10 @@
 
 func (e *countingEngine) AnswerBy(f *query.ForwardRequest) yuccahinge.Millis { return f.Arrived + 50 }
 
+func (e *countingEngine) MayReportLoss(context.Context, *query.PartLoss) (bool, error) {
+	return false, nil
+}
+
 // fakeNetwork passes calls between hosts, by default one weak and two strong ones. The function fail can make calls fail.
 type fakeNetwork struct {
 	members []yuccahinge.Member
@@ -40,7 +44,12 @@
 
 func (n *fakeNetwork) Members() []yuccahinge.Member { return n.members }
 
-func (n *fakeNetwork) Find(yuccahinge.HostID) (yuccahinge.Member, bool) {
+func (n *fakeNetwork) Find(id yuccahinge.HostID) (yuccahinge.Member, bool) {
+	for _, m := range n.members {
+		if m.ID == string(id) {
+			return m, true
+		}
+	}
 	return yuccahinge.Member{}, false
 }
 
@@ -55,6 +64,11 @@
 		*out.(*reachReply) = reachReply{Serves: n.hosts[addr].CanServe()}
 		return nil
 	}
+	if method == MethodLoss {
+		v, err := n.hosts[addr].answerLoss(ctx, in.(*lossQuestion))
+		*out.(*lossReply) = *v
+		return err
+	}
 	v, err := n.hosts[addr].runForPeer(ctx, in.(*Request))
 	if err != nil {
 		return err
--- a/internal/front/assign/delay_test.go
+++ b/internal/front/assign/delay_test.go
@@ -30,6 +30,8 @@
 
 func (e *slowEngine) AnswerBy(f *query.ForwardRequest) yuccahinge.Millis { return f.Arrived + 1000 }
 
+func (e *slowEngine) MayReportLoss(context.Context, *query.PartLoss) (bool, error) { return false, nil }
+
 // delegateOverNetwork sends requests with 1000 ms left over one connection, and returns how long each still has when the
 // other host starts it. That host starts to serve serveAfter later and takes took for each request.
 func delegateOverNetwork(t *testing.T, requests int, serveAfter, took time.Duration) []yuccahinge.Millis {
--- a/internal/front/assign/message.go
+++ b/internal/front/assign/message.go
@@ -27,6 +27,8 @@
 	// Shards are the positions of the delegated shards; empty for a whole request. With delegated shards, the sender
 	// decides whether enough shards replied.
 	Shards []int `json:"shards,omitempty"`
+	// From is the host that delegated the shards; empty for a whole request.
+	From yuccahinge.HostID `json:"from,omitempty"`
 
 	answerBy, deadline yuccahinge.Millis // at the sender
 }
@@ -102,13 +104,14 @@
 			Priority:    r.Priority,
 			ObjectiveMs: r.ObjectiveMs,
 		},
-		IsPart:   len(r.Shards) > 0,
-		Index:    ix,
-		Message:  r.Message,
-		Caller:   r.Caller,
-		Arrived:  received,
-		AnswerBy: received + r.AnswerMs,
-		Deadline: received + r.DeadlineMs,
+		IsPart:      len(r.Shards) > 0,
+		DelegatedBy: r.From,
+		Index:       ix,
+		Message:     r.Message,
+		Caller:      r.Caller,
+		Arrived:     received,
+		AnswerBy:    received + r.AnswerMs,
+		Deadline:    received + r.DeadlineMs,
 	}
 }
 
--- a/internal/front/assign/part.go
+++ b/internal/front/assign/part.go
@@ -39,6 +39,7 @@
 	due := a.Engine.AnswerBy(f)
 	r := newRequest(f, now, due-partReturnMs)
 	r.Shards = p.Shards
+	r.From = yuccahinge.HostID(a.Selector.Self.ID)
 	r.MinCoverage = minPartShare(f, len(p.Shards))
 	start := max(due, now)
 	answer, err := a.call(ctx, &p.Host, MethodPart, r, due, start+partTimeoutShare*max(0, f.Deadline-start))
--- a/internal/front/assign/part_test.go
+++ b/internal/front/assign/part_test.go
@@ -18,6 +18,7 @@
 // partEngine is an engine that answers parts and records the requests.
 type partEngine struct {
 	requests []*query.ForwardRequest
+	losses   []*query.PartLoss
 	err      error
 }
 
@@ -31,6 +32,11 @@
 
 func (p *partEngine) AnswerBy(f *query.ForwardRequest) yuccahinge.Millis { return f.Arrived + 80 }
 
+func (p *partEngine) MayReportLoss(_ context.Context, l *query.PartLoss) (bool, error) {
+	p.losses = append(p.losses, l)
+	return true, nil
+}
+
 // newTwoDomainNetwork returns a network with host "ha" in failure domain "a" and host "hb" in "b", the Assigner and the
 // engine of "ha", and a request. The searchers of all shards but the first are in "b".
 func newTwoDomainNetwork() (*fakeNetwork, *Assigner, *partEngine, *query.ForwardRequest) {
@@ -60,6 +66,32 @@
 	return n, n.hosts["ha"], eng, f
 }
 
+// TestHostOfAPartAsksAboutALoss guards against a loss by a part that the host which delegated it never hears of.
+func TestHostOfAPartAsksAboutALoss(t *testing.T) {
+	n, a, eng, f := newTwoDomainNetwork()
+	parts := a.Split(f)
+	if _, err := a.Query(t.Context(), f, &parts[0]); err != nil {
+		t.Fatal(err)
+	}
+	part, sent := eng.requests[0], a.Clock.Now()-50
+	loss := &query.PartLoss{Request: f.Request, Fingerprints: [2]yuccahinge.Fingerprint{1, 1 << 63}, Services: 1 << 63, SentAt: sent}
+	permitted, err := n.hosts["hb"].MayReportLoss(t.Context(), part, loss)
+	if !permitted || err != nil || n.calls[len(n.calls)-1] != "ha" {
+		t.Fatalf("%t, %v after calls to %v", permitted, err, n.calls)
+	}
+	got := *eng.losses[0]
+	if late := got.SentAt - sent; late < 0 || late > 1000 {
+		t.Errorf("the searcher got the part %g ms later than sent", late)
+	}
+	if got.SentAt = sent; got != *loss {
+		t.Errorf("got %+v, want %+v", got, *loss)
+	}
+	part.DelegatedBy = ""
+	if _, err := n.hosts["hb"].MayReportLoss(t.Context(), part, loss); err == nil {
+		t.Error("no error although the part names no host")
+	}
+}
+
 func TestPartRunsInOtherFailureDomain(t *testing.T) {
 	_, a, eng, f := newTwoDomainNetwork()
 	parts := a.Split(f)
--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -8,7 +8,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/yuccahinge/yuccahinge"
-	"github.com/yuccahinge/yuccahinge/crash"
 	"github.com/yuccahinge/yuccahinge/event"
 	"github.com/yuccahinge/yuccahinge/poison"
 )
@@ -90,7 +89,7 @@
 // channel receives the result. It is nil if there is no such searcher.
 func (q *run) checkLostSearcher() <-chan lostSearcher {
 	e, f := q.engine, q.forwardRequest
-	if e.Crashes == nil || f == nil || f.IsPart || q.gather.Completed() {
+	if e.Crashes == nil || f == nil || q.gather.Completed() {
 		return nil
 	}
 	id, sentAt, lostAt, ok := q.gather.LostSearcher()
@@ -125,31 +124,31 @@
 	return e.IsGone(ctx, s, since)
 }
 
-// reportCrash is called at the end of all attempts. It reports the loss of a searcher if none ran the request to its end. The host
-// that delegated a part does so for it.
+// reportCrash is called at the end of all attempts. It records that a searcher ran the request to its end, or reports the loss of one
+// if none did.
 func (q *run) reportCrash(checked <-chan lostSearcher) {
 	e, f := q.engine, q.forwardRequest
-	switch {
-	case e.Crashes == nil || f == nil || f.IsPart:
-	case q.gather.Completed():
+	if e.Crashes == nil || f == nil {
+		return
+	}
+	if q.gather.Completed() {
 		now := e.now()
 		for _, fp := range q.fingerprints() {
 			if e.Crashes.RecordResponse(now, fp, f.Index.ServicesHash) {
 				e.record(yuccahinge.Event{Code: event.CrashCleared, Request: f.Request, Service: q.service, Detail: fp.String()})
 			}
 		}
-	case checked != nil:
-		j, prints := q.job, q.fingerprints()
-		go func() {
-			lost := <-checked
-			if lost.isGone {
-				e.publishCrash(yuccahinge.Event{Searcher: lost.id}, e.Crashes.RecordEnd(e.now(), lost.lostAt, lost.id))
-			}
-			for _, fp := range prints {
-				l := crash.Loss{Fingerprint: fp, Services: j.index.ServicesHash, Searcher: lost.id, SentAt: lost.sentAt, LostAt: lost.lostAt}
-				e.publishCrash(yuccahinge.Event{Request: j.request, Service: j.service, Searcher: lost.id}, e.Crashes.RecordLoss(e.now(), l))
-			}
-		}()
+		if q.isTracked {
+			e.ledger.Complete(f.Request)
+		}
+		return
+	}
+	if q.isTracked {
+		e.ledger.End(f.Request)
+	}
+	if checked != nil {
+		r := lossReport{engine: e, forward: f, job: q.job, fingerprints: q.fingerprints(), isTracked: q.isTracked}
+		go func() { r.report(<-checked) }()
 	}
 }
 
--- a/internal/front/query/crash_test.go
+++ b/internal/front/query/crash_test.go
@@ -60,8 +60,15 @@
 	proxied float64
 	// service is the service to which the requests are routed.
 	service string
-	// crashFrom is when the request with crashTarget begins to crash searchers.
-	crashFrom time.Time
+	// crashFrom is when the request with crashTarget begins to crash searchers, and crashAfter how long one runs it until then.
+	crashFrom  time.Time
+	crashAfter time.Duration
+	// crashShards is the number of shards whose searchers the request with crashTarget crashes; zero means all.
+	crashShards int
+	// delegating is the number of hosts that have others run all shards of a wide request, and unreachable one that can't be asked
+	// about losses.
+	delegating  int
+	unreachable yuccahinge.HostID
 	// arrivals holds the requests with crashTarget that reached searchers, and excused those that a host took soon after its
 	// start.
 	arrivals []crashArrival
@@ -151,11 +158,15 @@
 }
 
 func (c *cluster) newHost(i int) *Engine {
-	return &Engine{
+	e := &Engine{
 		Clock: clock.Clock{}, FinishHTTP1: true, Crashes: &crash.Tracker{}, Gossip: &hostGossip{c, i}, Caller: caller(c.run),
 		IsGone: c.isGone,
 		Picker: upPicker{c}, ReachableShards: c.reachable,
 	}
+	if c.delegating > 0 {
+		e.Delegator, e.Hedger = &clusterDelegator{c, i}, slowHedger{}
+	}
+	return e
 }
 
 // upPicker picks a random searcher that is not down.
@@ -246,7 +257,7 @@
 }
 
 // run runs a request at a searcher.
-func (c *cluster) run(_ context.Context, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
+func (c *cluster) run(ctx context.Context, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
 	lost := yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonConnectionLost, ClosedUnanswered: true}
 	if c.isDown(id) && c.proxied > 0 {
 		return lost
@@ -256,7 +267,7 @@
 	}
 	name, _, _ := strings.Cut(string(id), "/")
 	fails, isFull := c.isLikely(c.failing), c.isLikely(c.full)
-	crashes := strings.HasPrefix(r.Message.Target, crashTarget)
+	crashes := strings.HasPrefix(r.Message.Target, crashTarget) && (c.crashShards == 0 || int(r.Shard) < c.crashShards)
 	if crashes {
 		c.mu.Lock()
 		c.arrivals = append(c.arrivals, crashArrival{r.Message.Target, r.RequestID, time.Now(), !fails && !isFull && !time.Now().Before(c.crashFrom)})
@@ -269,8 +280,7 @@
 		return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonRefused}
 	}
 	if crashes && !time.Now().Before(c.crashFrom) {
-		c.crash(name)
-		return lost
+		return c.crashLater(ctx, name, lost)
 	}
 	c.mu.Lock()
 	crashed, drop := c.searcher(name).crashed, c.rand.Float64() < c.lostAnswers
@@ -288,6 +298,26 @@
 	return res
 }
 
+// crashLater crashes a searcher after a while, and returns the result of the call that made it do so: lost, unless the call ends before.
+func (c *cluster) crashLater(ctx context.Context, name string, lost yuccahinge.ShardResult) yuccahinge.ShardResult {
+	c.mu.Lock()
+	crashed := c.searcher(name).crashed
+	c.mu.Unlock()
+	time.AfterFunc(c.crashAfter, func() {
+		select {
+		case <-crashed: // by another request
+		default:
+			c.crash(name)
+		}
+	})
+	select {
+	case <-crashed:
+		return lost
+	case <-ctx.Done():
+		return yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonTimeout, MayStillRun: true}
+	}
+}
+
 // isLikely returns true in a share of its calls.
 func (c *cluster) isLikely(share float64) bool {
 	c.mu.Lock()
@@ -418,6 +448,7 @@
 		failing         float64
 		silent          float64
 		proxied         float64
+		delegating      int // hosts
 	}{
 		{shards: 1, targets: 256},
 		{shards: 10, targets: 256},
@@ -430,10 +461,13 @@
 		{shards: 10, targets: 2, sameAddr: true, silent: 0.5},
 		{shards: 1, targets: 256, proxied: 0.3},
 		{shards: 1, targets: 1, sameAddr: true, atMostOnce: true, proxied: 0.3},
+		{shards: 10, targets: 256, delegating: 6},
+		{shards: 10, targets: 2, sameAddr: true, delegating: 6},
 	} {
 		shards, targets := c.shards, c.targets
 		synctest.Test(t, func(t *testing.T) {
 			cl := newCluster(hosts)
+			cl.delegate(c.delegating)
 			cl.lostAnswers = 0.025
 			cl.failing, cl.failStatus, cl.silent = c.failing, 500, c.silent
 			cl.proxied = c.proxied
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -19,6 +19,7 @@
 	"github.com/yuccahinge/yuccahinge/gather"
 	"github.com/yuccahinge/yuccahinge/internal/call/reject"
 	"github.com/yuccahinge/yuccahinge/internal/front/flight"
+	"github.com/yuccahinge/yuccahinge/internal/front/losses"
 	"github.com/yuccahinge/yuccahinge/poison"
 	"github.com/yuccahinge/yuccahinge/swap"
 )
@@ -106,6 +107,8 @@
 
 	// goneChecks is the number of searchers that are being checked whether they have ended.
 	goneChecks atomic.Int32
+	// ledger tracks the requests whose parts other hosts run.
+	ledger losses.Ledger
 	// partRooms holds a *partRoom for each partShard that a host could not call for want of room.
 	partRooms sync.Map
 }
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -45,6 +45,8 @@
 	// IsPart reports whether another host delegated some shards of its request; Index then holds only these shards. The
 	// other host has admitted the request and decides whether enough shards replied.
 	IsPart bool
+	// DelegatedBy is the host that delegated a part.
+	DelegatedBy yuccahinge.HostID
 }
 
 // ForwardAnswer is the answer to a ForwardRequest.
--- /dev/null
+++ b/internal/front/query/lossreport.go
@@ -0,0 +1,96 @@
+package query
+
+import (
+	"context"
+
+	"github.com/yuccahinge/yuccahinge"
+	"github.com/yuccahinge/yuccahinge/crash"
+	"github.com/yuccahinge/yuccahinge/event"
+)
+
+const (
+	// ledgerGraceMs is how long after the last attempt of a request can end another host may ask whether to report a loss by it.
+	ledgerGraceMs = 3 * yuccahinge.Second
+	// askGraceMs is how long after that end the host that delegated a part may answer.
+	askGraceMs yuccahinge.Millis = 500
+)
+
+// PartLoss is the loss of a searcher by a part of a request, of which no attempt ran to its end.
+type PartLoss struct {
+	Request      yuccahinge.RequestID
+	Fingerprints [2]yuccahinge.Fingerprint
+	// Services is the ServicesHash of the request's index.
+	Services uint64
+	// SentAt is when the request was sent to the searcher.
+	SentAt yuccahinge.Millis
+}
+
+// lossReport reports the loss of a searcher after the end of the run that has seen it.
+type lossReport struct {
+	job
+
+	engine       *Engine
+	forward      *ForwardRequest
+	fingerprints [2]yuccahinge.Fingerprint
+	isTracked    bool
+}
+
+// report passes the loss to Crashes unless the host that took the request has reason not to.
+func (r *lossReport) report(lost lostSearcher) {
+	e := r.engine
+	if lost.isGone {
+		e.publishCrash(yuccahinge.Event{Searcher: lost.id}, e.Crashes.RecordEnd(e.now(), lost.lostAt, lost.id))
+	}
+	if !r.isPermitted(lost.sentAt) {
+		e.record(yuccahinge.Event{Code: event.LossReportDenied, Request: r.request, Service: r.service, Searcher: lost.id})
+		return
+	}
+	for _, fp := range r.fingerprints {
+		l := crash.Loss{Fingerprint: fp, Services: r.index.ServicesHash, Searcher: lost.id, SentAt: lost.sentAt, LostAt: lost.lostAt}
+		e.publishCrash(yuccahinge.Event{Request: r.request, Service: r.service, Searcher: lost.id}, e.Crashes.RecordLoss(e.now(), l))
+	}
+}
+
+// isPermitted reports whether this host may report the loss. If the host that delegated a part does not answer, this one may.
+func (r *lossReport) isPermitted(sentAt yuccahinge.Millis) bool {
+	e, f := r.engine, r.forward
+	now := e.now()
+	if !f.IsPart {
+		if !r.isTracked {
+			return true
+		}
+		first, tracked := e.ledger.Claim(now, f.Request)
+		return first || !tracked
+	}
+	if e.Delegator == nil {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), (max(0, f.Deadline+callGraceMs-now) + askGraceMs).Duration())
+	defer cancel()
+	permitted, err := e.Delegator.MayReportLoss(ctx, f, &PartLoss{
+		Request: f.Request, Fingerprints: r.fingerprints, Services: r.index.ServicesHash, SentAt: sentAt,
+	})
+	return permitted || err != nil
+}
+
+// MayReportLoss reports whether the host of a part may report the loss of a searcher by it: no searcher has run the request to its
+// end, and no other loss by it is being reported. It waits for the end of the request's attempts on this host. The error is that of
+// ctx.
+func (e *Engine) MayReportLoss(ctx context.Context, l *PartLoss) (bool, error) {
+	if ended, ok := e.ledger.Ended(e.now(), l.Request); ok {
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
+	if first, tracked := e.ledger.Claim(e.now(), l.Request); tracked {
+		return first, nil
+	}
+	for _, fp := range l.Fingerprints {
+		if e.Crashes != nil && e.Crashes.HasResponseSince(l.SentAt, fp, l.Services) {
+			return false, nil
+		}
+	}
+	return true, nil
+}
--- a/internal/front/query/parts.go
+++ b/internal/front/query/parts.go
@@ -17,6 +17,9 @@
 	// Query sends the request for the delegated shards to their host. An error with the outcome NotRun proves
 	// that the host called no searcher.
 	Query(ctx context.Context, f *ForwardRequest, p *split.Part) (*ForwardAnswer, error)
+	// MayReportLoss asks the host that delegated a part to this one whether to report a loss of the part. An error means that it
+	// has not answered.
+	MayReportLoss(ctx context.Context, part *ForwardRequest, l *PartLoss) (bool, error)
 }
 
 // part is the set of shards delegated to another host.
@@ -53,6 +56,9 @@
 		return
 	}
 	q.partEnds = make(chan partEnd, len(q.delegatedParts))
+	if e, f := q.engine, q.forwardRequest; e.Crashes != nil {
+		q.isTracked = e.ledger.Open(e.now(), f.Deadline+callGraceMs+ledgerGraceMs, f.Request)
+	}
 	left := q.gather.Deadline - q.engine.now()
 	for i := range q.delegatedParts {
 		call, cancel := context.WithTimeout(context.WithoutCancel(ctx), left.Duration())
--- a/internal/front/query/parts_test.go
+++ b/internal/front/query/parts_test.go
@@ -27,6 +27,10 @@
 	return d.query(ctx)
 }
 
+func (d *fakeDelegator) MayReportLoss(context.Context, *ForwardRequest, *PartLoss) (bool, error) {
+	return false, nil
+}
+
 // TestDelegatedPartsAreMergedRetriedOrReclaimed forwards a request to four shards, of which another host
 // queries two.
 func TestDelegatedPartsAreMergedRetriedOrReclaimed(t *testing.T) {
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -39,6 +39,8 @@
 	messagePrints [2]yuccahinge.Fingerprint
 	// suspect is set if the forwarded request may crash the searchers that run it.
 	suspect bool
+	// isTracked is set if the engine's ledger has the request.
+	isTracked bool
 	// answeredAt is when the answer was ready; zero before.
 	answeredAt yuccahinge.Millis
 	// loadReported reports whether the load that the request met was passed to the admission.
