Count searchers that end after the calls to them

Callers saw: a request that crashes searchers 100 ms after its deadline came again and again, at hosts of all domains.

Cause: calls end 100 ms after the deadline, or a while after their callers have left, by closing their connections. A searcher that ends by the request after that closes none. Event lossAfterAnswer says "unfinished 100 ms after the answer" for each of these requests and "closed" for none. Ruled out: parts, since hosts that run all shards themselves show the same.

Change: a host that has ended a call, and knows of no attempt that ran to its end, sends the searcher a health check. If the searcher responds, and the list of searchers shows its end within 6 s of the call's, the host reports the request. A response more than a second after the call clears it.

Why it works: such a request ends each searcher that runs it, so that the one that is watched for each run ends too.

--- a/crash/end.go
+++ b/crash/end.go
@@ -18,16 +18,17 @@
 	at yuccahinge.Millis
 }
 
-// loss is a request whose connection a searcher has closed.
+// loss is a request whose connection a searcher has closed, or one that the searcher may still run.
 type loss struct {
 	fingerprint yuccahinge.Fingerprint
 	services    uint64
 	at          yuccahinge.Millis
+	unfinished  bool // Loss.Unfinished
 }
 
-// RecordLoss records that a searcher closed the connection of a request that none has run to its end. It returns the notices for
-// the other hosts: a report if the searcher is known to have ended, else one of kind NoticeLost. A request that was sent after the
-// searcher's end is not the cause of it: something in front of the searcher has accepted it.
+// RecordLoss records the loss of a searcher by a request that none has run to its end. It returns the notices for
+// the other hosts: a report if the searcher is known to have ended, else one of kind NoticeLost, or none for an unfinished request. A
+// request that was sent after the searcher's end is not the cause of it: something in front of the searcher has accepted it.
 func (t *Tracker) RecordLoss(now yuccahinge.Millis, l Loss) []yuccahinge.Notice {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -36,10 +37,15 @@
 	if d.at > 0 && l.SentAt > d.at {
 		return nil
 	}
-	d.endedBy(l.LostAt)
-	if t.addLoss(now, hash, loss{l.Fingerprint, l.Services, l.LostAt}) {
+	if !l.Unfinished {
+		d.endedBy(l.LostAt)
+	}
+	if t.addLoss(now, hash, loss{l.Fingerprint, l.Services, l.LostAt, l.Unfinished}) {
 		return t.reportOwn(now, l.Fingerprint, report{hash, l.Services, l.LostAt})
 	}
+	if l.Unfinished {
+		return nil
+	}
 	left := lossMs - max(0, now-l.LostAt)
 	return []yuccahinge.Notice{{Kind: yuccahinge.NoticeLost, Key: noticeKey(l.Fingerprint, l.Services, hash), TTLMs: left}}
 }
@@ -69,7 +75,12 @@
 		t.sweepEnds(sent)
 	}
 	if d := t.ends[xxhash.Sum64String(string(id))]; d != nil {
-		d.losses = slices.DeleteFunc(d.losses, func(l loss) bool { return l.at < sent })
+		d.losses = slices.DeleteFunc(d.losses, func(l loss) bool {
+			if l.unfinished && l.at+unfinishedMs < sent {
+				t.storeResponse(sent, survivalKey(l.fingerprint, l.services), false)
+			}
+			return l.at < sent && (!l.unfinished || l.at+unfinishedMs < sent)
+		})
 		if d.at < sent {
 			d.at, d.ended = 0, false
 		}
@@ -84,7 +95,9 @@
 	}
 	if len(d.losses) < maxLosses {
 		d.losses = append(d.losses, l)
-		t.addPending(now, l.fingerprint, report{hash, l.services, l.at})
+		if !l.unfinished {
+			t.addPending(now, l.fingerprint, report{hash, l.services, l.at})
+		}
 	}
 	d.expires = max(d.expires, now+lossMs)
 	return false
@@ -94,14 +107,19 @@
 // ended. The caller holds the lock.
 func (t *Tracker) mayHaveEnded(hash uint64, f yuccahinge.Fingerprint) bool {
 	d := t.ends[hash]
-	return d != nil && slices.ContainsFunc(d.losses, func(l loss) bool { return l.fingerprint == f })
+	return d != nil && slices.ContainsFunc(d.losses, func(l loss) bool { return l.fingerprint == f && !l.unfinished })
 }
 
-// takeLosses marks a searcher as ended and returns the losses that are to be reported. Earlier ones than its end have another cause.
-// The caller holds the lock.
+// takeLosses marks a searcher as ended and returns the losses that are to be reported. Connections that were closed earlier than its end
+// have another cause. The caller holds the lock.
 func (t *Tracker) takeLosses(now, at yuccahinge.Millis, hash uint64) []loss {
 	d := t.end(now, hash)
-	losses := slices.DeleteFunc(d.losses, func(l loss) bool { return l.at+lossMs <= now || l.at+sameEndMs < at })
+	losses := slices.DeleteFunc(d.losses, func(l loss) bool {
+		if l.unfinished {
+			return l.at+lossMs <= now || t.hasResponse(now, survivalKey(l.fingerprint, l.services))
+		}
+		return l.at+lossMs <= now || l.at+sameEndMs < at
+	})
 	d.ended, d.losses, d.expires = true, nil, now+endMs
 	if at == 0 {
 		at = now
--- a/crash/notice.go
+++ b/crash/notice.go
@@ -32,7 +32,7 @@
 		e.announcedAt = max(e.announcedAt, createdAt(now, &n, announceMs))
 		return !before, nil
 	case yuccahinge.NoticeLost:
-		l := loss{f, services, createdAt(now, &n, lossMs)}
+		l := loss{f, services, createdAt(now, &n, lossMs), false}
 		if t.addLoss(now, hashes[1], l) {
 			e := t.addReport(now, f, report{hashes[1], services, l.at})
 			confirmed = !before && e.confirmedAt > 0
--- a/crash/response.go
+++ b/crash/response.go
@@ -31,6 +31,10 @@
 // searchers of one service and not those of another, to which its route leads later.
 func responseKey(f yuccahinge.Fingerprint, services uint64) uint64 { return uint64(f) ^ services }
 
+// survivalKey returns the key under which a time is stored at which a searcher was still there some time after this host had ended a call
+// with a request of a fingerprint.
+func survivalKey(f yuccahinge.Fingerprint, services uint64) uint64 { return ^responseKey(f, services) }
+
 // storeResponse stores the time of a response unless a later one is known.
 func (t *Tracker) storeResponse(at yuccahinge.Millis, key uint64, heard bool) {
 	n := 2 * uint64(max(0, at))
@@ -70,6 +74,12 @@
 	return ok && at >= since
 }
 
+// IsUnlikely reports whether a request of a fingerprint is unlikely to end searchers of some services after its calls have ended: one of
+// them ran such a request to its end not long ago, or was still there some time after this host had ended a call.
+func (t *Tracker) IsUnlikely(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
+	return t.hasResponse(now, responseKey(f, services)) || t.hasResponse(now, survivalKey(f, services))
+}
+
 // hasResponse reports whether there was a response with a key recently.
 func (t *Tracker) hasResponse(now yuccahinge.Millis, key uint64) bool {
 	at, ok := t.lastResponse(key)
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -38,6 +38,8 @@
 	// lossMs is how long the loss of a connection waits for a sign that the searcher has ended. The platform drops the entry
 	// of a searcher, or lists another one at its address, some seconds after its end.
 	lossMs = 6 * yuccahinge.Second
+	// unfinishedMs is how long after the end of a call its request may still end the searcher.
+	unfinishedMs = 1 * yuccahinge.Second
 	// sameEndMs is the time within which the connections to a searcher that ends are lost, as different hosts tell it.
 	sameEndMs = 1 * yuccahinge.Second
 	// endMs is how long the end of a searcher is remembered for losses that are told later.
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
@@ -304,6 +305,45 @@
 	}
 }
 
+// TestEndAfterACallThatEndedIsReported guards against a request that crashes searchers after this host has ended the call, and against one
+// that is accused of an end long after its call, or that is held back because calls end.
+func TestEndAfterACallThatEndedIsReported(t *testing.T) {
+	for name, c := range map[string]struct {
+		alive yuccahinge.Millis // when a request was sent that the searcher responded to
+		ended yuccahinge.Millis // when the end is known
+		want  int               // reports
+	}{
+		"the searcher ends":                   {alive: 1000 + unfinishedMs, ended: 1000 + lossMs - 1, want: 1},
+		"it responds some time after":         {alive: 1001 + unfinishedMs, ended: 1000 + lossMs - 1},
+		"it ends long after":                  {alive: 1000, ended: 1000 + lossMs},
+		"it is lost by another request first": {alive: 1000, ended: 3000, want: 1},
+	} {
+		var tracker Tracker
+		for f := range yuccahinge.Fingerprint(heldReports) {
+			l := Loss{Fingerprint: f, Services: one, Searcher: "s", SentAt: 500, LostAt: 1000, Unfinished: true}
+			if notices := tracker.RecordLoss(1000, l); notices != nil || !tracker.IsEmpty() {
+				t.Fatalf("%s: a request is suspect while its searcher goes on: %v", name, notices)
+			}
+		}
+		tracker.RecordAlive(c.alive, "s")
+		if c.ended == 3000 {
+			tracker.RecordLoss(2000, Loss{Fingerprint: 99, Services: one, Searcher: "s", SentAt: 1900, LostAt: 2000})
+		}
+		reports := 0
+		for _, n := range tracker.RecordEnd(c.ended, 0, "s") {
+			if n.Kind == yuccahinge.NoticeCrash && strings.HasPrefix(n.Key, yuccahinge.Fingerprint(2).String()+keySeparator) {
+				reports++
+			}
+		}
+		if reports != c.want {
+			t.Errorf("%s: %d reports, want %d", name, reports, c.want)
+		}
+		if survived := c.alive > 1000+unfinishedMs; tracker.IsUnlikely(c.ended, 2, one) != survived {
+			t.Errorf("%s: the request is unlikely to end searchers: %t, want %t", name, !survived, survived)
+		}
+	}
+}
+
 // TestEndsAreBounded guards against memory that grows with the searchers that an outage takes away.
 func TestEndsAreBounded(t *testing.T) {
 	var tracker Tracker
--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,9 +19,14 @@
 	goneCheckDelayMs yuccahinge.Millis = 50
 	// goneCheckTimeoutMs bounds a check.
 	goneCheckTimeoutMs yuccahinge.Millis = 500
+	// aliveCheckTimeoutMs bounds a check of a searcher whose call this host has ended.
+	aliveCheckTimeoutMs yuccahinge.Millis = 400
 	// maxGoneChecks bounds the checks in progress, so that an outage of many searchers costs little. The ends of those that are
 	// not checked become known from the list of searchers.
 	maxGoneChecks = 8
+	// maxAliveChecks bounds the checks in progress of searchers whose calls this host has ended. No loss is reported of those that
+	// are not checked.
+	maxAliveChecks = 8
 )
 
 // checkCrashes refuses a request that crashes searchers, and notes one that may.
@@ -77,42 +83,83 @@
 	return shards[xxhash.Sum64String(string(f.Request))%uint64(len(shards))].ID
 }
 
-// lostSearcher is a searcher that closed the connection of a request that none has run to its end.
-type lostSearcher struct {
-	id yuccahinge.SearcherID
-	// sentAt is when the attempt was sent, and lostAt when its connection was closed.
-	sentAt, lostAt yuccahinge.Millis
-	isGone         bool
-}
-
-// checkLostSearcher starts a check of the searcher that closed the connection of a request that none has run to its end. The
-// channel receives the result. It is nil if there is no such searcher.
-func (q *run) checkLostSearcher() <-chan lostSearcher {
+// checkLostSearcher starts a check of the searcher that a request which none has run to its end may have ended: one that closed its
+// connection or, if all attempts have ended, one whose call this host ended. The channel receives the result. It is nil if there is no
+// such searcher.
+func (q *run) checkLostSearcher(allEnded bool) <-chan lostSearcher {
 	e, f := q.engine, q.forwardRequest
 	if e.Crashes == nil || f == nil || q.gather.Completed() {
 		return nil
 	}
-	id, sentAt, lostAt, ok := q.gather.LostSearcher()
-	searcher := q.index.Searchers[id]
+	lost := lostSearcher{evidence: closedConnection}
+	var ok bool
+	lost.id, lost.sentAt, lost.lostAt, ok = q.gather.LostSearcher()
+	if !ok && allEnded && e.IsAlive != nil && !q.isUnlikely() {
+		lost.evidence = noEvidence
+		lost.id, lost.sentAt, lost.lostAt, ok = q.gather.UnfinishedSearcher()
+	}
+	searcher := q.index.Searchers[lost.id]
 	if !ok || searcher == nil {
 		return nil
 	}
-	lost := lostSearcher{id: id, sentAt: sentAt, lostAt: lostAt}
 	checked := make(chan lostSearcher, 1)
-	if e.goneChecks.Add(1) > maxGoneChecks {
-		e.goneChecks.Add(-1)
+	checks, most := &e.goneChecks, int32(maxGoneChecks)
+	if lost.evidence == noEvidence {
+		checks, most = &e.aliveChecks, maxAliveChecks
+	}
+	if checks.Add(1) > most {
+		checks.Add(-1)
 		checked <- lost
 		return checked
 	}
+	service := serviceOf(q.index, lost.id)
 	since := e.now()
 	go func() {
-		defer e.goneChecks.Add(-1)
-		lost.isGone = e.isGone(searcher, since)
+		defer checks.Add(-1)
+		if lost.evidence == noEvidence {
+			lost.evidence = e.checkUnfinished(searcher, lost.id, service)
+		} else if e.isGone(searcher, since) {
+			lost.evidence = goneAddress
+		}
 		checked <- lost
 	}()
 	return checked
 }
 
+// isUnlikely reports whether the request is unlikely to end searchers after its calls have ended.
+func (q *run) isUnlikely() bool {
+	now, prints := q.engine.now(), q.fingerprints()
+	return slices.ContainsFunc(prints[:], func(fp yuccahinge.Fingerprint) bool {
+		return q.engine.Crashes.IsUnlikely(now, fp, q.index.ServicesHash)
+	})
+}
+
+// serviceOf returns the service of a searcher of an index.
+func serviceOf(ix *yuccahinge.Index, id yuccahinge.SearcherID) yuccahinge.ServiceName {
+	for i := range ix.Shards {
+		if slices.Contains(ix.Shards[i].Searchers, id) {
+			return ix.Shards[i].Service
+		}
+	}
+	return ""
+}
+
+// checkUnfinished returns what a request to a searcher shows after this host has ended a call to it. A searcher that does not respond in
+// time may have been silent before the call, so that its end has another cause.
+func (e *Engine) checkUnfinished(s *yuccahinge.Searcher, id yuccahinge.SearcherID, service yuccahinge.ServiceName) evidence {
+	since := e.now()
+	ctx, cancel := context.WithTimeout(context.Background(), aliveCheckTimeoutMs.Duration())
+	defer cancel()
+	switch {
+	case e.IsAlive(ctx, id, s, service):
+		return aliveAfterCall
+	case ctx.Err() == nil && e.isGone(s, since):
+		return goneAddress
+	default:
+		return noEvidence
+	}
+}
+
 // isGone reports whether a searcher has ended since the given time.
 func (e *Engine) isGone(s *yuccahinge.Searcher, since yuccahinge.Millis) bool {
 	if e.IsGone == nil {
--- a/internal/front/query/crash_test.go
+++ b/internal/front/query/crash_test.go
@@ -58,6 +58,9 @@
 	// proxied is the share of the calls that are sent to a searcher that may be down, to an address that accepts connections and
 	// closes them then.
 	proxied float64
+	// mute is the share of the ends that leave connections open, as when the machine loses power, and slow that of the requests that
+	// take longer than their callers wait.
+	mute, slow float64
 	// service is the service to which the requests are routed.
 	service string
 	// crashFrom is when the request with crashTarget begins to crash searchers, and crashAfter how long one runs it until then.
@@ -87,8 +90,8 @@
 type fakeSearcher struct {
 	starts int
 	back   time.Time
-	// silent is set if a check of its address does not show that it has crashed.
-	silent bool
+	// silent is set if a check of its address does not show that it has crashed, and mute if its connections do not either.
+	silent, mute bool
 	// crashed is closed when it crashes.
 	crashed chan struct{}
 }
@@ -160,7 +163,7 @@
 func (c *cluster) newHost(i int) *Engine {
 	e := &Engine{
 		Clock: clock.Clock{}, FinishHTTP1: true, Crashes: &crash.Tracker{}, Gossip: &hostGossip{c, i}, Caller: caller(c.run),
-		IsGone: c.isGone,
+		IsGone: c.isGone, IsAlive: c.isAlive,
 		Picker: upPicker{c}, ReachableShards: c.reachable,
 	}
 	if c.delegating > 0 {
@@ -176,7 +179,7 @@
 	n := p.cluster.intN(len(s.Searchers))
 	for i := range s.Searchers {
 		id := s.Searchers[(n+i)%len(s.Searchers)]
-		if (p.cluster.isLikely(p.cluster.proxied) || !p.cluster.isDown(id)) && (len(tried) == 0 || tried[len(tried)-1] != id) {
+		if (p.cluster.isLikely(p.cluster.proxied) || !p.cluster.isDown(id) || p.cluster.isMute(id)) && (len(tried) == 0 || tried[len(tried)-1] != id) {
 			return id, true
 		}
 	}
@@ -210,6 +213,20 @@
 	return !s.back.IsZero() || starts != strconv.Itoa(s.starts)
 }
 
+// isMute reports whether a searcher has ended without closing its connections.
+func (c *cluster) isMute(id yuccahinge.SearcherID) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	name, starts, _ := strings.Cut(string(id), "/")
+	s := c.searcher(name)
+	return s.mute && starts == strconv.Itoa(s.starts)
+}
+
+// isAlive is an Engine.IsAlive.
+func (c *cluster) isAlive(_ context.Context, id yuccahinge.SearcherID, _ *yuccahinge.Searcher, _ yuccahinge.ServiceName) bool {
+	return !c.isDown(id)
+}
+
 // crash ends searchers at once, with all requests that they run.
 func (c *cluster) crash(names ...string) {
 	c.mu.Lock()
@@ -218,8 +235,11 @@
 		if s := c.searcher(name); s.back.IsZero() {
 			c.crashes++
 			s.back = time.Now().Add(2 * time.Second)
-			s.silent = c.rand.Float64() < c.silent
-			close(s.crashed)
+			s.mute = c.rand.Float64() < c.mute
+			s.silent = s.mute || c.rand.Float64() < c.silent
+			if !s.mute {
+				close(s.crashed)
+			}
 			c.listEnd(yuccahinge.SearcherID(fmt.Sprint(name, "/", s.starts)))
 		}
 	}
@@ -259,7 +279,12 @@
 // run runs a request at a searcher.
 func (c *cluster) run(ctx context.Context, id yuccahinge.SearcherID, r *yuccahinge.ShardRequest) yuccahinge.ShardResult {
 	lost := yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonConnectionLost, ClosedUnanswered: true}
-	if c.isDown(id) && c.proxied > 0 {
+	unfinished := yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonTimeout, MayStillRun: true}
+	switch {
+	case c.isMute(id):
+		<-ctx.Done()
+		return unfinished
+	case c.isDown(id) && c.proxied > 0:
 		return lost
 	}
 	if c.isDown(id) {
@@ -280,15 +305,21 @@
 		return yuccahinge.ShardResult{Outcome: yuccahinge.NotRun, Reason: yuccahinge.ReasonRefused}
 	}
 	if crashes && !time.Now().Before(c.crashFrom) {
-		return c.crashLater(ctx, name, lost)
+		return c.crashLater(ctx, name, lost, unfinished)
+	}
+	took := 20 * time.Millisecond
+	if c.isLikely(c.slow) {
+		took = 2 * time.Second
 	}
 	c.mu.Lock()
 	crashed, drop := c.searcher(name).crashed, c.rand.Float64() < c.lostAnswers
 	c.mu.Unlock()
 	select {
-	case <-time.After(20 * time.Millisecond):
+	case <-time.After(took):
 	case <-crashed:
 		return lost
+	case <-ctx.Done():
+		return unfinished
 	}
 	if drop {
 		return lost
@@ -298,15 +329,17 @@
 	return res
 }
 
-// crashLater crashes a searcher after a while, and returns the result of the call that made it do so: lost, unless the call ends before.
-func (c *cluster) crashLater(ctx context.Context, name string, lost yuccahinge.ShardResult) yuccahinge.ShardResult {
+// crashLater crashes a searcher after a while. It returns lost, or unfinished if the call ends before.
+func (c *cluster) crashLater(ctx context.Context, name string, lost, unfinished yuccahinge.ShardResult) yuccahinge.ShardResult {
 	c.mu.Lock()
-	crashed := c.searcher(name).crashed
+	s := c.searcher(name)
+	starts, crashed := s.starts, s.crashed
 	c.mu.Unlock()
 	time.AfterFunc(c.crashAfter, func() {
-		select {
-		case <-crashed: // by another request
-		default:
+		c.mu.Lock()
+		isSame := c.searcher(name).starts == starts
+		c.mu.Unlock()
+		if isSame {
 			c.crash(name)
 		}
 	})
@@ -314,7 +347,7 @@
 	case <-crashed:
 		return lost
 	case <-ctx.Done():
-		return yuccahinge.ShardResult{Outcome: yuccahinge.Unknown, Reason: yuccahinge.ReasonTimeout, MayStillRun: true}
+		return unfinished
 	}
 }
 
@@ -449,6 +482,7 @@
 		silent          float64
 		proxied         float64
 		delegating      int // hosts
+		mute, slow      float64
 	}{
 		{shards: 1, targets: 256},
 		{shards: 10, targets: 256},
@@ -463,84 +497,89 @@
 		{shards: 1, targets: 1, sameAddr: true, atMostOnce: true, proxied: 0.3},
 		{shards: 10, targets: 256, delegating: 6},
 		{shards: 10, targets: 2, sameAddr: true, delegating: 6},
+		{shards: 1, targets: 256, mute: 1},
+		{shards: 10, targets: 2, sameAddr: true, mute: 0.5, delegating: 6},
+		{shards: 10, targets: 2, sameAddr: true, slow: 0.3, delegating: 6},
 	} {
 		shards, targets := c.shards, c.targets
-		synctest.Test(t, func(t *testing.T) {
-			cl := newCluster(hosts)
-			cl.delegate(c.delegating)
-			cl.lostAnswers = 0.025
-			cl.failing, cl.failStatus, cl.silent = c.failing, 500, c.silent
-			cl.proxied = c.proxied
-			ctx, stop := context.WithTimeout(t.Context(), length)
-			defer stop()
-			var mu sync.Mutex
-			sent, failed, refused := 0, 0, 0
-			var group sync.WaitGroup
-			for i := range callers {
+		t.Run(fmt.Sprintf("%+v", c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cl := newCluster(hosts)
+				cl.delegate(c.delegating)
+				cl.lostAnswers = 0.025
+				cl.failing, cl.failStatus, cl.silent = c.failing, 500, c.silent
+				cl.proxied, cl.mute, cl.slow = c.proxied, c.mute, c.slow
+				ctx, stop := context.WithTimeout(t.Context(), length)
+				defer stop()
+				var mu sync.Mutex
+				sent, failed, refused := 0, 0, 0
+				var group sync.WaitGroup
+				for i := range callers {
+					group.Go(func() {
+						for n := 0; ctx.Err() == nil; n++ {
+							target := fmt.Sprint("/", cl.intN(targets))
+							for try := range 4 {
+								addr := fmt.Sprint("10.0.0.", i)
+								if c.sameAddr {
+									addr = "10.0.0.1"
+								}
+								f := cl.newRequest(fmt.Sprint(i, ".", n, ".", try), addr, target, shards)
+								if c.atMostOnce {
+									f.Route.RetrySafety = ""
+								}
+								_, err := cl.hosts[cl.intN(hosts)].Forward(t.Context(), f)
+								mu.Lock()
+								sent++
+								if err != nil {
+									failed++
+								}
+								if isQuarantined(err) {
+									refused++
+								}
+								mu.Unlock()
+								if err == nil {
+									break
+								}
+								time.Sleep(5 * time.Millisecond)
+							}
+							time.Sleep(time.Duration(400+cl.intN(400)) * time.Millisecond)
+						}
+					})
+				}
 				group.Go(func() {
+					// Hosts take reports on requests that never had a response, so the service works at first.
+					time.Sleep(2 * time.Second)
 					for n := 0; ctx.Err() == nil; n++ {
-						target := fmt.Sprint("/", cl.intN(targets))
-						for try := range 4 {
-							addr := fmt.Sprint("10.0.0.", i)
-							if c.sameAddr {
-								addr = "10.0.0.1"
-							}
-							f := cl.newRequest(fmt.Sprint(i, ".", n, ".", try), addr, target, shards)
-							if c.atMostOnce {
-								f.Route.RetrySafety = ""
-							}
-							_, err := cl.hosts[cl.intN(hosts)].Forward(t.Context(), f)
-							mu.Lock()
-							sent++
-							if err != nil {
-								failed++
-							}
-							if isQuarantined(err) {
-								refused++
+						share := []float64{0.15, 1, 0.5, 0.15}[n%4]
+						var victims []string
+						for name := range 2 * shards {
+							if float64(cl.intN(1000)) < 1000*share {
+								victims = append(victims, fmt.Sprint(name/2, "-", name%2))
 							}
-							mu.Unlock()
-							if err == nil {
-								break
-							}
-							time.Sleep(5 * time.Millisecond)
 						}
-						time.Sleep(time.Duration(400+cl.intN(400)) * time.Millisecond)
-					}
-				})
-			}
-			group.Go(func() {
-				// Hosts take reports on requests that never had a response, so the service works at first.
-				time.Sleep(2 * time.Second)
-				for n := 0; ctx.Err() == nil; n++ {
-					share := []float64{0.15, 1, 0.5, 0.15}[n%4]
-					var victims []string
-					for name := range 2 * shards {
-						if float64(cl.intN(1000)) < 1000*share {
-							victims = append(victims, fmt.Sprint(name/2, "-", name%2))
+						if n%8 < 4 {
+							cl.crash(victims...)
 						}
+						for _, name := range victims {
+							cl.crash(name)
+							time.Sleep(time.Duration(cl.intN(40)) * time.Millisecond)
+						}
+						f := cl.newRequest(fmt.Sprint("c", n), "10.0.1.1", crashTarget, shards)
+						_, _ = cl.hosts[cl.intN(hosts)].Forward(t.Context(), f)
+						time.Sleep(time.Duration(200+cl.intN(4000)) * time.Millisecond)
 					}
-					if n%8 < 4 {
-						cl.crash(victims...)
-					}
-					for _, name := range victims {
-						cl.crash(name)
-						time.Sleep(time.Duration(cl.intN(40)) * time.Millisecond)
-					}
-					f := cl.newRequest(fmt.Sprint("c", n), "10.0.1.1", crashTarget, shards)
-					_, _ = cl.hosts[cl.intN(hosts)].Forward(t.Context(), f)
-					time.Sleep(time.Duration(200+cl.intN(4000)) * time.Millisecond)
+				})
+				group.Wait()
+				time.Sleep(time.Second)
+				confirmed := 0
+				for _, e := range cl.hosts {
+					confirmed = max(confirmed, e.Crashes.Confirmed())
+				}
+				t.Logf("%+v: %d requests, %d failed, %d refused, %d searchers crashed, %d confirmed", c, sent, failed, refused, cl.crashes, confirmed)
+				if refused > 0 || confirmed > 2 {
+					t.Errorf("%+v: %d requests were refused, and %d confirmed; want none, and the two fingerprints of the one that crashes searchers", c, refused, confirmed)
 				}
 			})
-			group.Wait()
-			time.Sleep(time.Second)
-			confirmed := 0
-			for _, e := range cl.hosts {
-				confirmed = max(confirmed, e.Crashes.Confirmed())
-			}
-			t.Logf("%+v: %d requests, %d failed, %d refused, %d searchers crashed, %d confirmed", c, sent, failed, refused, cl.crashes, confirmed)
-			if refused > 0 || confirmed > 2 {
-				t.Errorf("%+v: %d requests were refused, and %d confirmed; want none, and the two fingerprints of the one that crashes searchers", c, refused, confirmed)
-			}
 		})
 	}
 }
--- a/internal/front/query/engine.go
+++ b/internal/front/query/engine.go
@@ -55,6 +55,9 @@
 	// IsGone reports whether a searcher has ended since the given time. It may block. Nil takes every searcher that closed a
 	// connection for one that has.
 	IsGone func(ctx context.Context, s *yuccahinge.Searcher, since yuccahinge.Millis) bool
+	// IsAlive reports whether a searcher of a service responds to a request that is sent now. It may block. Nil leaves the ends of
+	// searchers that come after a call to them has ended out of Crashes.
+	IsAlive func(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher, service yuccahinge.ServiceName) bool
 	// Versions selects the previous index version until the searchers have loaded the new one.
 	Versions *swap.Versions
 	// Departures records which searchers are draining.
@@ -107,6 +110,8 @@
 
 	// goneChecks is the number of searchers that are being checked whether they have ended.
 	goneChecks atomic.Int32
+	// aliveChecks is the number of searchers that are being checked whether they respond after a call has ended.
+	aliveChecks atomic.Int32
 	// ledger tracks the requests whose parts other hosts run.
 	ledger losses.Ledger
 	// partRooms holds a *partRoom for each partShard that a host could not call for want of room.
--- a/internal/front/query/late_test.go
+++ b/internal/front/query/late_test.go
@@ -92,16 +92,16 @@
 	return c.newRequest(fmt.Sprint("r", n), "10.0.0.1", crashTarget, 20)
 }
 
-// TestCrashesAfterTheAnswerToAPartAreCounted guards against a request that crashes searchers for good because each does so after the
-// host that ran a part has answered the host that delegated it.
-func TestCrashesAfterTheAnswerToAPartAreCounted(t *testing.T) {
-	for _, after := range []time.Duration{5, 60, 100, 150, 300, 450} {
-		for _, every := range []time.Duration{700, 1500, 2500, 5000} {
-			t.Run(fmt.Sprintf("after %d ms, every %d ms", after, every), func(t *testing.T) {
+// checkLateRetries repeats a wide request that crashes searchers a while after they begin, and checks that it is refused soon.
+func checkLateRetries(t *testing.T, crashAfter, every []time.Duration, delegating int) {
+	for _, after := range crashAfter {
+		for _, every := range every {
+			t.Run(fmt.Sprintf("after %d ms, every %d ms, %d delegating hosts", after, every, delegating), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					cl := newDelegatingCluster(after * time.Millisecond)
+					cl.delegate(delegating)
 					for n := range 16 {
-						_, _ = cl.host(n%cl.delegating).Forward(t.Context(), cl.newWideCrash(n))
+						_, _ = cl.host(n%2).Forward(t.Context(), cl.newWideCrash(n))
 						time.Sleep(every * time.Millisecond)
 					}
 					if late := cl.lateRetries(); late > maxLateRetries {
@@ -114,6 +114,20 @@
 	}
 }
 
+// TestCrashesAfterTheAnswerToAPartAreCounted guards against a request that crashes searchers for good because each does so after the
+// host that ran a part has answered the host that delegated it.
+func TestCrashesAfterTheAnswerToAPartAreCounted(t *testing.T) {
+	checkLateRetries(t, []time.Duration{5, 60, 100, 150, 300, 450}, []time.Duration{700, 1500, 2500, 5000}, 2)
+}
+
+// TestCrashesAfterTheEndOfACallAreCounted guards against a request that crashes searchers for good because each does so after the calls
+// have ended, which their hosts end a while after the deadline of 400 ms.
+func TestCrashesAfterTheEndOfACallAreCounted(t *testing.T) {
+	for _, delegating := range []int{0, 2} {
+		checkLateRetries(t, []time.Duration{498, 502, 600, 1000, 2000}, []time.Duration{700, 1500, 2500, 5000}, delegating)
+	}
+}
+
 // TestOneRunOfARequestMakesOneReport guards against a request that is accused by each host that ran a part of it, or though another part was
 // run to its end, and against a loss that is reported by none because the host that delegated the part has ended or can't be reached.
 func TestOneRunOfARequestMakesOneReport(t *testing.T) {
--- a/internal/front/query/lossreport.go
+++ b/internal/front/query/lossreport.go
@@ -25,6 +25,28 @@
 	SentAt yuccahinge.Millis
 }
 
+// evidence is what shows that a searcher ended by a request.
+type evidence string
+
+const (
+	noEvidence evidence = "none"
+	// closedConnection means that the searcher closed the connection before it responded.
+	closedConnection evidence = "closed"
+	// goneAddress means that no process serves the searcher's address any more.
+	goneAddress evidence = "gone"
+	// aliveAfterCall means that this host ended the call, and that the searcher responded to a request sent after that. Its end is
+	// yet to come.
+	aliveAfterCall evidence = "alive"
+)
+
+// lostSearcher is a searcher that a request which none has run to its end may have ended.
+type lostSearcher struct {
+	id yuccahinge.SearcherID
+	// sentAt is when the attempt was sent, and lostAt when its connection was closed or this host ended the call.
+	sentAt, lostAt yuccahinge.Millis
+	evidence       evidence
+}
+
 // lossReport reports the loss of a searcher after the end of the run that has seen it.
 type lossReport struct {
 	job
@@ -38,7 +60,10 @@
 // report passes the loss to Crashes unless the host that took the request has reason not to.
 func (r *lossReport) report(lost lostSearcher) {
 	e := r.engine
-	if lost.isGone {
+	if lost.evidence == noEvidence {
+		return
+	}
+	if lost.evidence == goneAddress {
 		e.publishCrash(yuccahinge.Event{Searcher: lost.id}, e.Crashes.RecordEnd(e.now(), lost.lostAt, lost.id))
 	}
 	if !r.isPermitted(lost.sentAt) {
@@ -46,7 +71,10 @@
 		return
 	}
 	for _, fp := range r.fingerprints {
-		l := crash.Loss{Fingerprint: fp, Services: r.index.ServicesHash, Searcher: lost.id, SentAt: lost.sentAt, LostAt: lost.lostAt}
+		l := crash.Loss{
+			Fingerprint: fp, Services: r.index.ServicesHash, Searcher: lost.id,
+			SentAt: lost.sentAt, LostAt: lost.lostAt, Unfinished: lost.evidence == aliveAfterCall,
+		}
 		e.publishCrash(yuccahinge.Event{Request: r.request, Service: r.service, Searcher: lost.id}, e.Crashes.RecordLoss(e.now(), l))
 	}
 }
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -117,14 +117,13 @@
 	if q.cancelAll == nil {
 		return
 	}
-	lost := q.checkLostSearcher()
 	q.answeredAt = q.engine.now()
 	if q.gather.InFlight() > 0 {
-		go q.awaitInFlight(q.cancelAll, lost)
+		go q.awaitInFlight(q.cancelAll, q.checkLostSearcher(false))
 		return
 	}
 	q.cancelAll()
-	q.reportCrash(lost)
+	q.reportCrash(q.checkLostSearcher(true))
 }
 
 func (q *run) loop(ctx, calls context.Context) error {
@@ -249,7 +248,7 @@
 	}
 	q.recordLateLoss()
 	if lost == nil {
-		lost = q.checkLostSearcher()
+		lost = q.checkLostSearcher(true)
 	}
 	q.reportCrash(lost)
 }
--- a/internal/host/proxy/probe.go
+++ b/internal/host/proxy/probe.go
@@ -184,16 +184,26 @@
 	}
 }
 
-func (srv *Server) probeSearcher(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher) {
+// responds reports whether a searcher of a service responds to a health check, and false if none may be sent.
+func (srv *Server) responds(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher, service yuccahinge.ServiceName) bool {
+	if s.HealthPath == "" || srv.parts.departures.IsDraining(id) || !srv.parts.balancer.StartProbe(srv.clock.Now(), id, s, service) {
+		return false
+	}
+	return srv.probeSearcher(ctx, id, s)
+}
+
+// probeSearcher sends a health check to a searcher, records its report, and reports whether there was one.
+func (srv *Server) probeSearcher(ctx context.Context, id yuccahinge.SearcherID, s *yuccahinge.Searcher) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeoutMs.Duration())
 	defer cancel()
 	srv.countAttempt(meter.CauseProbe, id)
 	sent := srv.clock.Now()
 	report, err := srv.prober.Load(ctx, id, s)
 	if err != nil {
-		return // the searcher stays ejected or cut off; a later round probes again
+		return false // a searcher that is ejected or cut off stays so; a later round probes again
 	}
 	srv.parts.balancer.RecordReport(srv.clock.Now(), id, report)
 	srv.parts.engine.RecordReport(sent, id, report)
 	srv.observeWarmup(id, report)
+	return true
 }
--- a/internal/host/proxy/wire.go
+++ b/internal/host/proxy/wire.go
@@ -181,6 +181,7 @@
 	e.HedgeBudget = &p.quota
 	e.Crashes = &p.crashes
 	e.IsGone = srv.unlessEvacuated(client.IsGone)
+	e.IsAlive = srv.responds
 	e.Troubles = &p.troubles
 	e.Gossip = &p.syncer
 	p.syncer.Subscribe(e.ApplyNotice)
--- a/internal/trial/chaos/crash.go
+++ b/internal/trial/chaos/crash.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -25,10 +26,20 @@
 	crashFailEvery = 5
 	// freshCrashTime is how long a request that crashes searchers comes before another one takes its place.
 	freshCrashTime = 8 * time.Second
+	// lateCrash is how long after the deadline of a request that crashes searchers late they crash.
+	lateCrash = 500 * time.Millisecond
 	// maxCrashPause bounds the pause between two repetitions of a request that crashes searchers.
 	maxCrashPause = 2500 * time.Millisecond
 )
 
+// crashDelay returns how long a searcher runs the request with a path until it crashes: not at all, beyond the objective, or until the
+// calls to it have ended.
+func (x *Experiment) crashDelay(path string) time.Duration {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, x.Seed, path) // never fails
+	return [...]time.Duration{0, x.Load.deadline() / 2, x.Load.deadline() + lateCrash}[h.Sum64()%3]
+}
+
 // crashRoutes are the routes of the requests that crash searchers.
 var crashRoutes = [...]string{"wide", "read", "pay"}
 
@@ -139,7 +150,7 @@
 		if a.Crashed {
 			r.crashed[a.Searcher] = true
 			if len(r.crashed) == fatalCrashes && r.thirdAt.IsZero() {
-				r.thirdAt = a.At
+				r.thirdAt = a.CrashedAt
 			}
 		}
 	}
--- a/internal/trial/chaos/crash_test.go
+++ b/internal/trial/chaos/crash_test.go
@@ -62,7 +62,7 @@
 func TestLateRetriesOfACrashingRequestAreCounted(t *testing.T) {
 	start := time.Unix(1, 0)
 	at := func(attempt, searcher string, after time.Duration) origin.CrashArrival {
-		return origin.CrashArrival{Path: "/read/crash/x", Attempt: attempt, Searcher: searcher, Crashed: true, At: start.Add(after)}
+		return origin.CrashArrival{Path: "/read/crash/x", Attempt: attempt, Searcher: searcher, Crashed: true, At: start.Add(after), CrashedAt: start.Add(after)}
 	}
 	arrivals := []origin.CrashArrival{at("1", "a", 0), at("1", "b", 1), at("2", "c", time.Second), at("3", "d", 4*time.Second)}
 	none := func(string) bool { return false }
--- a/internal/trial/chaos/experiment.go
+++ b/internal/trial/chaos/experiment.go
@@ -145,6 +145,9 @@
 		return err
 	}
 	x.env.onlySilent = x.Seed%4 == 0
+	if x.Seed%3 == 0 {
+		x.env.crashes.Delay = x.crashDelay
+	}
 	return x.startHosts(ctx)
 }
 
--- a/internal/trial/standin/origin/crashlog.go
+++ b/internal/trial/standin/origin/crashlog.go
@@ -19,12 +19,16 @@
 	Searcher string
 	Crashed  bool
 	At       time.Time
+	// CrashedAt is when the searcher crashed; zero if it has not.
+	CrashedAt time.Time
 }
 
 // CrashLog holds the arrivals of requests with CrashPath at any searcher. The zero value is empty and ready to use.
 type CrashLog struct {
 	// FailEvery, if it is not zero, is the number of arrivals of which one is answered with a failure before it crashes the searcher.
 	FailEvery int
+	// Delay returns how long a searcher runs the request with a path until it crashes; nil means no time.
+	Delay func(path string) time.Duration
 
 	mu       sync.Mutex
 	arrivals []*CrashArrival
@@ -55,10 +59,13 @@
 	return a, l.FailEvery > 0 && len(l.arrivals)%l.FailEvery == 0
 }
 
-// crash ends the searcher that has begun to run a request.
+// crash ends the searcher that has begun to run a request, after a delay even if its caller has disconnected by then.
 func (s *Server) crash(a *CrashArrival) {
+	if s.CrashLog.Delay != nil {
+		time.Sleep(s.CrashLog.Delay(a.Path))
+	}
 	s.CrashLog.mu.Lock()
-	a.Crashed = true
+	a.Crashed, a.CrashedAt = true, time.Now()
 	s.CrashLog.mu.Unlock()
 	s.OnCrash()
 	panic(http.ErrAbortHandler)
