Require one shard at least for an answer

Callers saw: 200 with an empty body and no signature on a route whose share of shards is 0, from the moment at which all searchers of its shard fell silent until the platform had dropped them. It looks like a search that found nothing, and nobody retries.

Cause: the share of shards that an answer needs was turned into a number in nine places, seven of which found that none is enough at a share of 0. The log shows it: "partial; desk-2 timeout; attempts 1" 96 ms after the request, which had 600 ms. Ruled out: a part that was empty (the hosts of the shard's own domain answer alike) and searchers that answered with nothing (no attempt ended).

Change: ShardShare.Of gives the number, at least one, for the answer, its soft deadline, the end of hopeless requests, room, admission, probes, skipped shards, parts and searches. It has no rounding error: 0.56 of 25 shards needed 15. A part may be empty, as before; that it ends at the soft deadline follows from IsPart now. The product's own API answers 504 in place of 200 to a search that covers no shard, and waits for one after the soft deadline. An empty result of searchers that answered stays a success. Lookups never count as refused by too many shards, as before.

Why it works: each path asks the same function, which can't return 0.

--- a/gather/answer.go
+++ b/gather/answer.go
@@ -41,17 +41,14 @@
 		return false
 	default:
 		g.softReached = true
-		return float64(g.coveredCount) >= g.EnoughCoverage*float64(len(g.shards))
+		return g.IsPart || g.coveredCount >= g.EnoughCoverage.Of(len(g.shards))
 	}
 }
 
 // coverageUnreachable reports whether too many shards are lacking to reach MinCoverage.
 func (g *Gather) coverageUnreachable() bool {
-	if g.MinCoverage == 0 {
-		return false
-	}
 	n := len(g.shards)
-	return float64(n-(g.settledCount-g.coveredCount)) < g.MinCoverage*float64(n)
+	return n-(g.settledCount-g.coveredCount) < g.MinCoverage.Of(n)
 }
 
 // unsettledReason returns the reason for a shard that is still unsettled at the end of the query.
--- a/gather/gather.go
+++ b/gather/gather.go
@@ -30,8 +30,8 @@
 	Deadline yuccahinge.Millis
 	// SoftDeadline is the instant from which EnoughCoverage suffices for the answer; zero waits for every shard.
 	SoftDeadline yuccahinge.Millis
-	// EnoughCoverage is the share of shards, 0 to 1, that suffices at the soft deadline.
-	EnoughCoverage float64
+	// EnoughCoverage is the share of shards, 0 to 1, that suffices at the soft deadline. At least one shard is needed, except for a part.
+	EnoughCoverage yuccahinge.ShardShare
 	// MaxHits limits the hits of the answer; zero keeps all.
 	MaxHits int
 	// Domain is the failure domain of this host. Canaries prefer a shard that has a replica in it.
@@ -49,11 +49,11 @@
 	// HoldLost delays the retries of lost connections until a searcher has replied, because the query may crash every
 	// searcher that runs it. If none is left to reply, one shard is retried alone, except in a part for another host.
 	HoldLost bool
-	// IsPart is set if another host delegated the shards to this one.
+	// IsPart is set if another host delegated the shards to this one. A part ends at the soft deadline with what it has.
 	IsPart bool
-	// MinCoverage is the share of shards, 0 to 1, that an answer needs. The query ends as soon as it can no
-	// longer be reached; zero disables the check.
-	MinCoverage float64
+	// MinCoverage is the share of shards, 0 to 1, that an answer needs, at least one shard. The query ends as soon as it can no
+	// longer be reached.
+	MinCoverage yuccahinge.ShardShare
 	// MaxAttempts limits the attempts at each shard to at most 4; zero means 4, of which one may be a retry.
 	MaxAttempts int
 	// AtMostOnce is set if the query must not run twice: it is never hedged, and an attempt is retried only if it
@@ -247,8 +247,8 @@
 
 // TooManyRefused reports whether so many shards refused an attempt because of their load that the others cannot reach MinCoverage.
 func (g *Gather) TooManyRefused() bool {
-	n := float64(len(g.shards))
-	return n-float64(g.load.Refused) < g.MinCoverage*n
+	n := len(g.shards)
+	return n-g.load.Refused < g.MinCoverage.Of(n)
 }
 
 // OnlyRejected reports whether attempts were rejected without load, and none was queued or refused because of load.
--- a/gather/result.go
+++ b/gather/result.go
@@ -109,7 +109,7 @@
 	if g.halfCoveredAt == 0 && 2*g.coveredCount >= len(g.shards) {
 		g.halfCoveredAt = now
 	}
-	if g.minCoverageAt == 0 && float64(g.coveredCount) >= g.MinCoverage*float64(len(g.shards)) {
+	if g.minCoverageAt == 0 && g.coveredCount >= g.MinCoverage.Of(len(g.shards)) {
 		g.minCoverageAt = now
 	}
 }
--- a/gather/skip.go
+++ b/gather/skip.go
@@ -12,11 +12,11 @@
 // were sent, every reply would be late. The order of the shards differs from query to query, so that each query
 // skips other shards.
 func (g *Gather) skipOverloaded(now yuccahinge.Millis) {
-	if g.Estimator == nil || g.SoftDeadline <= now || g.EnoughCoverage <= 0 {
+	if g.Estimator == nil || g.SoftDeadline <= now {
 		return
 	}
 	n := len(g.shards)
-	skippable := n - int(math.Ceil(g.EnoughCoverage*float64(n)))
+	skippable := n - g.EnoughCoverage.Of(n)
 	first := hashRequest(g.Request, n)
 	for i := 0; i < n && skippable > 0; i++ {
 		s := &g.shards[(first+i)%n]
--- a/internal/front/admit/fleet_test.go
+++ b/internal/front/admit/fleet_test.go
@@ -54,10 +54,10 @@
 	priority    int
 	objective   yuccahinge.Millis
 	deadline    yuccahinge.Millis
-	work        float64 // ms at each searcher
-	worth, late float64 // of an answer on time and of a late one
-	coverage    float64 // share of the shards that an answer needs; zero for a lookup
-	share       float64 // of the requests
+	work        float64               // ms at each searcher
+	worth, late float64               // of an answer on time and of a late one
+	coverage    yuccahinge.ShardShare // share of the shards that an answer needs; zero for a lookup
+	share       float64               // of the requests
 }
 
 // kindsP and kindsS are the kinds of request of the two deployments. Their shares are assumed.
@@ -448,7 +448,7 @@
 		return
 	}
 	available := r.answerBy - r.arrived
-	load := yuccahinge.RequestLoad{QueuedShare: r.gather.Load().QueuedShare(), TooManyRefused: r.gather.TooManyRefused(), Priority: f.kinds[r.kind].priority}
+	load := yuccahinge.RequestLoad{QueuedShare: r.gather.Load().QueuedShare(), TooManyRefused: f.kinds[r.kind].coverage > 0 && r.gather.TooManyRefused(), Priority: f.kinds[r.kind].priority}
 	at, ok := r.gather.MinCoverageAt()
 	switch {
 	case ok:
@@ -469,9 +469,8 @@
 	}
 	r.ended = true
 	kd, t := &f.kinds[r.kind], f.tally(r.kind, r.first)
-	covered := float64(r.gather.Covered())
 	switch {
-	case covered > 0 && covered >= kd.coverage*float64(len(r.index.Shards)):
+	case r.gather.Covered() >= kd.coverage.Of(len(r.index.Shards)):
 		if now+2*callerOneWayMs <= r.first+kd.objective {
 			t.onTime++
 		} else {
--- a/internal/front/assign/message.go
+++ b/internal/front/assign/message.go
@@ -16,7 +16,7 @@
 	Index       uint64                  `json:"index"`
 	Route       yuccahinge.RouteName    `json:"route"`
 	MaxRecords  int                     `json:"maxRecords"`
-	MinCoverage float64                 `json:"leastShare"`
+	MinCoverage yuccahinge.ShardShare   `json:"leastShare"`
 	Attempts    int                     `json:"attempts"`
 	Priority    int                     `json:"priority,omitempty"`
 	ObjectiveMs yuccahinge.Millis       `json:"objectiveMs,omitempty"`
--- a/internal/front/assign/part.go
+++ b/internal/front/assign/part.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 
 	"github.com/cockroachdb/errors"
 
@@ -50,10 +49,10 @@
 }
 
 // minPartShare returns the share of a part's shards that the answer needs even if all shards outside the part reply.
-func minPartShare(f *query.ForwardRequest, shards int) float64 {
-	n := float64(len(f.Index.Shards))
-	spare := math.Floor(n - f.Route.MinCoverage*n)
-	return max(0, float64(shards)-spare) / float64(shards)
+func minPartShare(f *query.ForwardRequest, shards int) yuccahinge.ShardShare {
+	n := len(f.Index.Shards)
+	spare := n - f.Route.MinCoverage.Of(n)
+	return yuccahinge.ShardShare(max(0, shards-spare)) / yuccahinge.ShardShare(shards)
 }
 
 // subsetIndex returns a copy of ix with the shards at the given positions, or nil if a position is out of range.
--- a/internal/front/entry/search.go
+++ b/internal/front/entry/search.go
@@ -49,8 +49,11 @@
 	covered := ans.Coverage.Total - len(ans.Coverage.Lacking)
 	w.Header().Set("Coverage", fmt.Sprintf("%d/%d", covered, ans.Coverage.Total))
 	status := http.StatusOK
-	if ans.Outcome == yuccahinge.NotRun {
+	switch {
+	case ans.Outcome == yuccahinge.NotRun:
 		status = http.StatusServiceUnavailable
+	case ans.Outcome == yuccahinge.Partial && covered == 0:
+		status = http.StatusGatewayTimeout // an answer that covers no shard is no success, and 503 would promise that it did not run
 	}
 	render.JSON(w, status, ans)
 }
--- a/internal/front/entry/server_test.go
+++ b/internal/front/entry/server_test.go
@@ -39,6 +39,11 @@
 		RequestID: "q", Outcome: yuccahinge.Partial, Hits: []yuccahinge.Hit{},
 		Coverage: yuccahinge.Coverage{Total: 2, Covered: []string{"0"}, Lacking: []yuccahinge.LackingShard{{Shard: 1, Reason: yuccahinge.ReasonTimeout}}},
 	}
+	empty := &yuccahinge.SearchAnswer{
+		RequestID: "q", Outcome: yuccahinge.Partial, Hits: []yuccahinge.Hit{},
+		Coverage: yuccahinge.Coverage{Total: 1, Lacking: []yuccahinge.LackingShard{{Reason: yuccahinge.ReasonTimeout}}},
+	}
+	noHits := &yuccahinge.SearchAnswer{RequestID: "q", Outcome: yuccahinge.Complete, Coverage: yuccahinge.Coverage{Total: 1, Covered: []string{"0"}}}
 	shed := &yuccahinge.Error{Code: yuccahinge.CodeUnavailable, Step: yuccahinge.StepAdmit, Message: "overload", Outcome: yuccahinge.NotRun}
 	tests := []struct {
 		name, method, path, claim, body string
@@ -47,6 +52,8 @@
 		outcome                         yuccahinge.Outcome
 	}{
 		{name: "partial", method: "POST", path: "/v1/search/s", body: `{"query":"q"}`, searcher: fakeSearcher{ans: partial}, status: 200, outcome: yuccahinge.Partial},
+		{name: "no shard", method: "POST", path: "/v1/search/s", body: `{"query":"q"}`, searcher: fakeSearcher{ans: empty}, status: 504, outcome: yuccahinge.Partial},
+		{name: "no hits", method: "POST", path: "/v1/search/s", body: `{"query":"q"}`, searcher: fakeSearcher{ans: noHits}, status: 200, outcome: yuccahinge.Complete},
 		{name: "shed", method: "POST", path: "/v1/search/s", body: `{"query":"q"}`, searcher: fakeSearcher{err: shed}, status: 503, outcome: yuccahinge.NotRun},
 		{name: "malformed", method: "POST", path: "/v1/search/s", body: `{"query":`, status: 400, outcome: yuccahinge.NotRun},
 		{name: "unknown field", method: "POST", path: "/v1/search/s", body: `{"query":1,"dedlineMs":5}`, status: 400, outcome: yuccahinge.NotRun},
--- a/internal/front/query/admit.go
+++ b/internal/front/query/admit.go
@@ -64,7 +64,12 @@
 		return
 	}
 	now := e.now()
-	load := yuccahinge.RequestLoad{QueuedShare: q.gather.Load().QueuedShare(), TooManyRefused: q.gather.TooManyRefused(), Priority: f.Route.Priority}
+	load := yuccahinge.RequestLoad{
+		QueuedShare: q.gather.Load().QueuedShare(),
+		// A lookup whose searcher refuses it goes to another one.
+		TooManyRefused: f.Route.IsScattered() && q.gather.TooManyRefused(),
+		Priority:       f.Route.Priority,
+	}
 	at, ok := q.gather.MinCoverageAt()
 	switch {
 	case ok:
--- a/internal/front/query/forward.go
+++ b/internal/front/query/forward.go
@@ -134,12 +134,12 @@
 }
 
 // CanServe reports whether enough shards have a reachable searcher for an answer.
-func (e *Engine) CanServe(now yuccahinge.Millis, ix *yuccahinge.Index, minCoverage float64) bool {
+func (e *Engine) CanServe(now yuccahinge.Millis, ix *yuccahinge.Index, minCoverage yuccahinge.ShardShare) bool {
 	n := shardsWithSearcher(ix)
 	if e.ReachableShards != nil {
 		n = e.ReachableShards(now, ix)
 	}
-	return n > 0 && float64(n) >= minCoverage*float64(len(ix.Shards))
+	return n >= minCoverage.Of(len(ix.Shards))
 }
 
 // shardsWithSearcher returns the number of shards that have a searcher.
@@ -174,12 +174,9 @@
 	g.IsPart = f.IsPart
 	g.EnoughCoverage = f.Route.MinCoverage
 	g.SoftDeadline = q.engine.AnswerBy(f)
-	if f.IsPart {
-		// A part is answered with whatever replies arrived by AnswerBy.
-		g.EnoughCoverage = 0
-		return
+	if !f.IsPart {
+		g.Estimator = q.engine.Estimator
 	}
-	g.Estimator = q.engine.Estimator
 }
 
 // forwardAnswer returns the answer after the gather is done.
@@ -190,7 +187,7 @@
 		return out, nil
 	}
 	if f.Route.IsScattered() {
-		if float64(q.gather.Covered()) >= f.Route.MinCoverage*float64(len(q.index.Shards)) {
+		if q.gather.Covered() >= f.Route.MinCoverage.Of(len(q.index.Shards)) {
 			return q.mergeAnswer(f.Route.MaxRecords), nil
 		}
 		return nil, q.noAnswerError(f)
--- a/internal/front/query/room.go
+++ b/internal/front/query/room.go
@@ -1,7 +1,6 @@
 package query
 
 import (
-	"math"
 	"slices"
 	"sync"
 
@@ -94,7 +93,7 @@
 	if q.engine.Room == nil {
 		return 0
 	}
-	needed := max(1, int(math.Ceil(f.Route.MinCoverage*float64(len(q.index.Shards)))))
+	needed := f.Route.MinCoverage.Of(len(q.index.Shards))
 	var waits []yuccahinge.Millis
 	for i := range q.index.Shards {
 		switch wait, ok := q.shardRoomIn(now, i); {
--- a/internal/trial/bench/fleet/state.go
+++ b/internal/trial/bench/fleet/state.go
@@ -15,7 +15,7 @@
 		Preference:     p.Preference,
 		DeadlineMs:     p.DeadlineMs,
 		SoftDeadlineMs: p.SoftDeadlineMs,
-		EnoughCoverage: p.EnoughCoverage,
+		EnoughCoverage: yuccahinge.ShardShare(p.EnoughCoverage),
 		VersionHoldMs:  p.VersionHoldMs,
 		MaxHits:        maxHits,
 		Index:          *f.index(domain, version, shards),
--- a/routing.go
+++ b/routing.go
@@ -35,7 +35,7 @@
 	// MaxRecords is the maximum number of records in the answer to a scattered request.
 	MaxRecords int `json:"maxRecords,omitempty"`
 	// MinCoverage is the minimum share of shards, 0 to 1, that an answer must cover.
-	MinCoverage float64 `json:"leastShare,omitempty"`
+	MinCoverage ShardShare `json:"leastShare,omitempty"`
 	// TimeoutMs is the maximum time for an answer.
 	TimeoutMs Millis `json:"timeoutMs"`
 	// ObjectiveMs is the latency objective: an answer is on time if the caller has it by then.
--- a/service.go
+++ b/service.go
@@ -33,7 +33,7 @@
 	// SoftDeadlineMs is the time from which PreferLatency answers with EnoughCoverage.
 	SoftDeadlineMs Millis `json:"softDeadlineMs,omitempty"`
 	// EnoughCoverage is the share of shards, 0 to 1, that is sufficient from the soft deadline on.
-	EnoughCoverage float64 `json:"enoughCoverage,omitempty"`
+	EnoughCoverage ShardShare `json:"enoughCoverage,omitempty"`
 	// VersionHoldMs is the maximum time for which the previous index is served while searchers load the new one.
 	VersionHoldMs Millis `json:"versionHoldMs,omitempty"`
 	// MaxHits is the maximum number of hits in an answer.
