Remember calls that searchers have survived apart from responses

Cause: both were kept in the table of responses, so that survived calls displaced responses, which excuse losses.

Change: a table of 1,024 entries of its own.

--- a/crash/end.go
+++ b/crash/end.go
@@ -77,7 +77,7 @@
 	if d := t.ends[xxhash.Sum64String(string(id))]; d != nil {
 		d.losses = slices.DeleteFunc(d.losses, func(l loss) bool {
 			if l.unfinished && l.at+unfinishedMs < sent {
-				t.storeResponse(sent, survivalKey(l.fingerprint, l.services), false)
+				t.storeSurvivor(sent, l.fingerprint, l.services)
 			}
 			return l.at < sent && (!l.unfinished || l.at+unfinishedMs < sent)
 		})
@@ -116,7 +116,7 @@
 	d := t.end(now, hash)
 	losses := slices.DeleteFunc(d.losses, func(l loss) bool {
 		if l.unfinished {
-			return l.at+lossMs <= now || t.hasResponse(now, survivalKey(l.fingerprint, l.services))
+			return l.at+lossMs <= now || t.hasSurvivor(now, l.fingerprint, l.services)
 		}
 		return l.at+lossMs <= now || l.at+sameEndMs < at
 	})
--- a/crash/response.go
+++ b/crash/response.go
@@ -15,6 +15,12 @@
 	at atomic.Uint64
 }
 
+// survivor is the time of the last call with a request of one fingerprint that a searcher has survived.
+type survivor struct {
+	key uint64 // that of responseKey
+	at  yuccahinge.Millis
+}
+
 // RecordResponse records that a searcher ran a request to its end, which therefore does not crash the searchers of its services. It
 // reports whether the request was suspect or confirmed.
 func (t *Tracker) RecordResponse(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
@@ -31,10 +37,6 @@
 // searchers of one service and not those of another, to which its route leads later.
 func responseKey(f yuccahinge.Fingerprint, services uint64) uint64 { return uint64(f) ^ services }
 
-// survivalKey returns the key under which a time is stored at which a searcher was still there some time after this host had ended a call
-// with a request of a fingerprint.
-func survivalKey(f yuccahinge.Fingerprint, services uint64) uint64 { return ^responseKey(f, services) }
-
 // storeResponse stores the time of a response unless a later one is known.
 func (t *Tracker) storeResponse(at yuccahinge.Millis, key uint64, heard bool) {
 	n := 2 * uint64(max(0, at))
@@ -77,7 +79,24 @@
 // IsUnlikely reports whether a request of a fingerprint is unlikely to end searchers of some services after its calls have ended: one of
 // them ran such a request to its end not long ago, or was still there some time after this host had ended a call.
 func (t *Tracker) IsUnlikely(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
-	return t.hasResponse(now, responseKey(f, services)) || t.hasResponse(now, survivalKey(f, services))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasResponse(now, responseKey(f, services)) || t.hasSurvivor(now, f, services)
+}
+
+// storeSurvivor stores the time at which a searcher was still there some time after this host had ended a call with a request of a
+// fingerprint. The caller holds the lock.
+func (t *Tracker) storeSurvivor(at yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) {
+	key := responseKey(f, services)
+	t.survivors[key%survivorSlots] = survivor{key, at}
+}
+
+// hasSurvivor reports whether a searcher was still there recently, some time after this host had ended a call with a request of a
+// fingerprint. The caller holds the lock.
+func (t *Tracker) hasSurvivor(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
+	key := responseKey(f, services)
+	s := t.survivors[key%survivorSlots]
+	return s.key == key && s.at > 0 && now < s.at+responseMs
 }
 
 // hasResponse reports whether there was a response with a key recently.
--- a/crash/tracker.go
+++ b/crash/tracker.go
@@ -35,10 +35,12 @@
 	responseMs = 120 * yuccahinge.Second
 	// responseSlots is the number of slots that store fingerprints with a response.
 	responseSlots = 16384
+	// survivorSlots is the number of slots that store fingerprints of which a searcher has survived a call without a response.
+	survivorSlots = 1024
 	// lossMs is how long the loss of a connection waits for a sign that the searcher has ended. The platform drops the entry
 	// of a searcher, or lists another one at its address, some seconds after its end.
 	lossMs = 6 * yuccahinge.Second
-	// unfinishedMs is how long after the end of a call its request may still end the searcher.
+	// unfinishedMs is the time after the end of a call from which a response of the searcher shows that the request has not ended it.
 	unfinishedMs = 1 * yuccahinge.Second
 	// sameEndMs is the time within which the connections to a searcher that ends are lost, as different hosts tell it.
 	sameEndMs = 1 * yuccahinge.Second
@@ -71,8 +73,10 @@
 	// nextSweep is when the expired entries are to be dropped, and nextEndSweep when the expired ends are.
 	nextSweep, nextEndSweep yuccahinge.Millis
 	// ends holds, by the hash of their ids, the searchers that have ended and those that may have.
-	ends     map[uint64]*end
-	endCount atomic.Int64 // len(ends), readable without mu
+	ends map[uint64]*end
+	// survivors holds the calls without a response that searchers have survived.
+	survivors [survivorSlots]survivor
+	endCount  atomic.Int64 // len(ends), readable without mu
 }
 
 // IsEmpty reports whether no request is suspect or confirmed.
