Keep only what a late report of a loss needs

The report of a loss after the end of a run held the request's message and index while it waited for the host that had delegated the part. It keeps ids, fingerprints and the deadline now.

--- a/internal/front/assign/loss.go
+++ b/internal/front/assign/loss.go
@@ -35,8 +35,8 @@
 }
 
 // MayReportLoss implements query.Delegator.
-func (a *Assigner) MayReportLoss(ctx context.Context, part *query.ForwardRequest, l *query.PartLoss) (bool, error) {
-	m, ok := a.Membership.Find(part.DelegatedBy)
+func (a *Assigner) MayReportLoss(ctx context.Context, delegatedBy yuccahinge.HostID, l *query.PartLoss) (bool, error) {
+	m, ok := a.Membership.Find(delegatedBy)
 	if !ok {
 		return false, errDelegatorUnknown
 	}
--- a/internal/front/assign/part_test.go
+++ b/internal/front/assign/part_test.go
@@ -75,7 +75,7 @@
 	}
 	part, sent := eng.requests[0], a.Clock.Now()-50
 	loss := &query.PartLoss{Request: f.Request, Fingerprints: [2]yuccahinge.Fingerprint{1, 1 << 63}, Services: 1 << 63, SentAt: sent}
-	permitted, err := n.hosts["hb"].MayReportLoss(t.Context(), part, loss)
+	permitted, err := n.hosts["hb"].MayReportLoss(t.Context(), part.DelegatedBy, loss)
 	if !permitted || err != nil || n.calls[len(n.calls)-1] != "ha" {
 		t.Fatalf("%t, %v after calls to %v", permitted, err, n.calls)
 	}
@@ -86,8 +86,7 @@
 	if got.SentAt = sent; got != *loss {
 		t.Errorf("got %+v, want %+v", got, *loss)
 	}
-	part.DelegatedBy = ""
-	if _, err := n.hosts["hb"].MayReportLoss(t.Context(), part, loss); err == nil {
+	if _, err := n.hosts["hb"].MayReportLoss(t.Context(), "", loss); err == nil {
 		t.Error("no error although the part names no host")
 	}
 }
--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -194,7 +194,7 @@
 		e.ledger.End(f.Request)
 	}
 	if checked != nil {
-		r := lossReport{engine: e, forward: f, job: q.job, fingerprints: q.fingerprints(), isTracked: q.isTracked}
+		r := q.newLossReport()
 		go func() { r.report(<-checked) }()
 	}
 }
--- a/internal/front/query/late_test.go
+++ b/internal/front/query/late_test.go
@@ -56,13 +56,13 @@
 	return d.cluster.host(hostIndex(yuccahinge.HostID(p.Host.ID))).Forward(ctx, &part)
 }
 
-func (d *clusterDelegator) MayReportLoss(ctx context.Context, part *ForwardRequest, l *PartLoss) (bool, error) {
-	if part.DelegatedBy == d.cluster.unreachable {
+func (d *clusterDelegator) MayReportLoss(ctx context.Context, delegatedBy yuccahinge.HostID, l *PartLoss) (bool, error) {
+	if delegatedBy == d.cluster.unreachable {
 		return false, errors.New("unreachable")
 	}
 	time.Sleep(oneWay)
 	defer time.Sleep(oneWay)
-	return d.cluster.host(hostIndex(part.DelegatedBy)).MayReportLoss(ctx, l)
+	return d.cluster.host(hostIndex(delegatedBy)).MayReportLoss(ctx, l)
 }
 
 func hostIndex(id yuccahinge.HostID) int {
--- a/internal/front/query/lossreport.go
+++ b/internal/front/query/lossreport.go
@@ -47,14 +47,26 @@
 	evidence       evidence
 }
 
-// lossReport reports the loss of a searcher after the end of the run that has seen it.
+// lossReport reports the loss of a searcher after the end of the run that has seen it. It keeps neither the request's message nor its
+// index.
 type lossReport struct {
-	job
+	engine  *Engine
+	service yuccahinge.ServiceName
+	loss    PartLoss
+	// isTracked is set if the engine's ledger had the request when its attempts ended.
+	isTracked   bool
+	isPart      bool
+	delegatedBy yuccahinge.HostID
+	deadline    yuccahinge.Millis
+}
 
-	engine       *Engine
-	forward      *ForwardRequest
-	fingerprints [2]yuccahinge.Fingerprint
-	isTracked    bool
+func (q *run) newLossReport() *lossReport {
+	f := q.forwardRequest
+	return &lossReport{
+		engine: q.engine, service: q.service,
+		loss:      PartLoss{Request: f.Request, Fingerprints: q.fingerprints(), Services: q.index.ServicesHash},
+		isTracked: q.isTracked, isPart: f.IsPart, delegatedBy: f.DelegatedBy, deadline: f.Deadline,
+	}
 }
 
 // report passes the loss to Crashes unless the host that took the request has reason not to.
@@ -66,39 +78,37 @@
 	if lost.evidence == goneAddress {
 		e.publishCrash(yuccahinge.Event{Searcher: lost.id}, e.Crashes.RecordEnd(e.now(), lost.lostAt, lost.id))
 	}
-	if !r.isPermitted(lost.sentAt) {
-		e.record(yuccahinge.Event{Code: event.LossReportDenied, Request: r.request, Service: r.service, Searcher: lost.id})
+	r.loss.SentAt = lost.sentAt
+	v := yuccahinge.Event{Request: r.loss.Request, Service: r.service, Searcher: lost.id}
+	if !r.isPermitted() {
+		v.Code = event.LossReportDenied
+		e.record(v)
 		return
 	}
-	for _, fp := range r.fingerprints {
+	for _, fp := range r.loss.Fingerprints {
 		l := crash.Loss{
-			Fingerprint: fp, Services: r.index.ServicesHash, Searcher: lost.id,
+			Fingerprint: fp, Services: r.loss.Services, Searcher: lost.id,
 			SentAt: lost.sentAt, LostAt: lost.lostAt, Unfinished: lost.evidence == aliveAfterCall,
 		}
-		e.publishCrash(yuccahinge.Event{Request: r.request, Service: r.service, Searcher: lost.id}, e.Crashes.RecordLoss(e.now(), l))
+		e.publishCrash(v, e.Crashes.RecordLoss(e.now(), l))
 	}
 }
 
 // isPermitted reports whether this host may report the loss. If the host that delegated a part does not answer, this one may.
-func (r *lossReport) isPermitted(sentAt yuccahinge.Millis) bool {
-	e, f := r.engine, r.forward
-	now := e.now()
-	if !f.IsPart {
-		if !r.isTracked {
-			return true
-		}
-		first, tracked := e.ledger.Claim(now, f.Request)
+func (r *lossReport) isPermitted() bool {
+	e, now := r.engine, r.engine.now()
+	switch {
+	case r.isPart && e.Delegator != nil:
+		ctx, cancel := context.WithTimeout(context.Background(), (max(0, r.deadline+callGraceMs-now) + askGraceMs).Duration())
+		defer cancel()
+		permitted, err := e.Delegator.MayReportLoss(ctx, r.delegatedBy, &r.loss)
+		return permitted || err != nil
+	case r.isTracked:
+		first, tracked := e.ledger.Claim(now, r.loss.Request)
 		return first || !tracked
-	}
-	if e.Delegator == nil {
+	default:
 		return true
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), (max(0, f.Deadline+callGraceMs-now) + askGraceMs).Duration())
-	defer cancel()
-	permitted, err := e.Delegator.MayReportLoss(ctx, f, &PartLoss{
-		Request: f.Request, Fingerprints: r.fingerprints, Services: r.index.ServicesHash, SentAt: sentAt,
-	})
-	return permitted || err != nil
 }
 
 // MayReportLoss reports whether the host of a part may report the loss of a searcher by it: no searcher has run the request to its
--- a/internal/front/query/parts.go
+++ b/internal/front/query/parts.go
@@ -19,7 +19,7 @@
 	Query(ctx context.Context, f *ForwardRequest, p *split.Part) (*ForwardAnswer, error)
 	// MayReportLoss asks the host that delegated a part to this one whether to report a loss of the part. An error means that it
 	// has not answered.
-	MayReportLoss(ctx context.Context, part *ForwardRequest, l *PartLoss) (bool, error)
+	MayReportLoss(ctx context.Context, delegatedBy yuccahinge.HostID, l *PartLoss) (bool, error)
 }
 
 // part is the set of shards delegated to another host.
--- a/internal/front/query/parts_test.go
+++ b/internal/front/query/parts_test.go
@@ -27,7 +27,7 @@
 	return d.query(ctx)
 }
 
-func (d *fakeDelegator) MayReportLoss(context.Context, *ForwardRequest, *PartLoss) (bool, error) {
+func (d *fakeDelegator) MayReportLoss(context.Context, yuccahinge.HostID, *PartLoss) (bool, error) {
 	return false, nil
 }
 
