Don't remember responses to parts that the delegating host knows

Cause: since losses by parts are reported, each host of a part has remembered the response to it, as has the host that delegated the part.

Change: only a response that came after the part's answer is remembered at the host of the part, since nobody else knows of it.

--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -179,11 +179,9 @@
 		return
 	}
 	if q.gather.Completed() {
-		now := e.now()
-		for _, fp := range q.fingerprints() {
-			if e.Crashes.RecordResponse(now, fp, f.Index.ServicesHash) {
-				e.record(yuccahinge.Event{Code: event.CrashCleared, Request: f.Request, Service: q.service, Detail: fp.String()})
-			}
+		// The answer to a part has told the host that delegated it.
+		if !f.IsPart || !q.completedAtAnswer {
+			q.recordResponse()
 		}
 		if q.isTracked {
 			e.ledger.Complete(f.Request)
@@ -199,6 +197,16 @@
 	}
 }
 
+// recordResponse records that a searcher ran the request to its end.
+func (q *run) recordResponse() {
+	now := q.engine.now()
+	for _, fp := range q.fingerprints() {
+		if q.engine.Crashes.RecordResponse(now, fp, q.index.ServicesHash) {
+			q.engine.record(yuccahinge.Event{Code: event.CrashCleared, Request: q.request, Service: q.service, Detail: fp.String()})
+		}
+	}
+}
+
 // recordLateLoss records an event if an attempt that outlasted the answer shows that its searcher may have been lost by a request that
 // none has run to its end.
 func (q *run) recordLateLoss() {
--- a/internal/front/query/run.go
+++ b/internal/front/query/run.go
@@ -41,8 +41,10 @@
 	suspect bool
 	// isTracked is set if the engine's ledger has the request.
 	isTracked bool
-	// answeredAt is when the answer was ready; zero before.
-	answeredAt yuccahinge.Millis
+	// answeredAt is when the answer was ready; zero before. completedAtAnswer is set if a searcher had run the request to its end by
+	// then.
+	answeredAt        yuccahinge.Millis
+	completedAtAnswer bool
 	// loadReported reports whether the load that the request met was passed to the admission.
 	loadReported bool
 }
@@ -117,7 +119,7 @@
 	if q.cancelAll == nil {
 		return
 	}
-	q.answeredAt = q.engine.now()
+	q.answeredAt, q.completedAtAnswer = q.engine.now(), q.gather.Completed()
 	if q.gather.InFlight() > 0 {
 		go q.awaitInFlight(q.cancelAll, q.checkLostSearcher(false))
 		return
