--- a/internal/front/query/late_test.go
+++ b/internal/front/query/late_test.go
@@ -153,6 +153,8 @@
 				}
 				time.Sleep(10 * time.Second)
 				reports := make(map[string]int)
+				cl.mu.Lock()
+				defer cl.mu.Unlock()
 				for _, n := range cl.notices.All(clock.Clock{}.Now()) {
 					if n.Kind == yuccahinge.NoticeCrash {
 						fingerprint, _, _ := strings.Cut(n.Key, "/")
