--- a/crash/response.go
+++ b/crash/response.go
@@ -76,9 +76,9 @@
 	return ok && at >= since
 }
 
-// IsUnlikely reports whether a request of a fingerprint is unlikely to end searchers of some services after its calls have ended: one of
-// them ran such a request to its end not long ago, or was still there some time after this host had ended a call.
-func (t *Tracker) IsUnlikely(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
+// IsUnlikelyCause reports whether a request of a fingerprint is an unlikely cause of ends of searchers that come after the calls to them: one of
+// the services' searchers ran such a request to its end not long ago, or was still there some time after this host had ended a call.
+func (t *Tracker) IsUnlikelyCause(now yuccahinge.Millis, f yuccahinge.Fingerprint, services uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.hasResponse(now, responseKey(f, services)) || t.hasSurvivor(now, f, services)
--- a/crash/tracker_test.go
+++ b/crash/tracker_test.go
@@ -338,7 +338,7 @@
 		if reports != c.want {
 			t.Errorf("%s: %d reports, want %d", name, reports, c.want)
 		}
-		if survived := c.alive > 1000+unfinishedMs; tracker.IsUnlikely(c.ended, 2, one) != survived {
+		if survived := c.alive > 1000+unfinishedMs; tracker.IsUnlikelyCause(c.ended, 2, one) != survived {
 			t.Errorf("%s: the request is unlikely to end searchers: %t, want %t", name, !survived, survived)
 		}
 	}
--- a/internal/front/query/crash.go
+++ b/internal/front/query/crash.go
@@ -94,7 +94,7 @@
 	lost := lostSearcher{evidence: closedConnection}
 	var ok bool
 	lost.id, lost.sentAt, lost.lostAt, ok = q.gather.LostSearcher()
-	if !ok && allEnded && e.IsAlive != nil && !q.isUnlikely() {
+	if !ok && allEnded && e.IsAlive != nil && !q.isUnlikelyCause() {
 		lost.evidence = noEvidence
 		lost.id, lost.sentAt, lost.lostAt, ok = q.gather.UnfinishedSearcher()
 	}
@@ -126,11 +126,11 @@
 	return checked
 }
 
-// isUnlikely reports whether the request is unlikely to end searchers after its calls have ended.
-func (q *run) isUnlikely() bool {
+// isUnlikelyCause reports whether the request is an unlikely cause of ends of searchers that come after the calls to them.
+func (q *run) isUnlikelyCause() bool {
 	now, prints := q.engine.now(), q.fingerprints()
 	return slices.ContainsFunc(prints[:], func(fp yuccahinge.Fingerprint) bool {
-		return q.engine.Crashes.IsUnlikely(now, fp, q.index.ServicesHash)
+		return q.engine.Crashes.IsUnlikelyCause(now, fp, q.index.ServicesHash)
 	})
 }
 
--- a/internal/front/query/lossreport.go
+++ b/internal/front/query/lossreport.go
@@ -29,6 +29,7 @@
 type evidence string
 
 const (
+	// noEvidence is that of a call which this host ended until a check shows more.
 	noEvidence evidence = "none"
 	// closedConnection means that the searcher closed the connection before it responded.
 	closedConnection evidence = "closed"
