--- a/internal/front/query/crash_test.go
+++ b/internal/front/query/crash_test.go
@@ -331,6 +331,10 @@
 
 // crashLater crashes a searcher after a while. It returns lost, or unfinished if the call ends before.
 func (c *cluster) crashLater(ctx context.Context, name string, lost, unfinished yuccahinge.ShardResult) yuccahinge.ShardResult {
+	if c.crashAfter == 0 {
+		c.crash(name)
+		return lost
+	}
 	c.mu.Lock()
 	s := c.searcher(name)
 	starts, crashed := s.starts, s.crashed
